Keep the end of a leaving replica's spare time

Ruled out: late news, since the host had it 0.1 s after the acknowledgement. Now the end is kept as long as the entry is known.

--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -31,6 +31,7 @@
     revision: StoreRevision
     replica: replicas.Replica | None
     # Leaves the choice at once; may be asked until then where nothing else is left.
+    # Kept after that, since a replica that drains writes its entry again.
     spare_until: float | None = None
 
 
@@ -108,10 +109,12 @@
         entry = self._entries.get(instance)
         if entry is not None and revision <= entry.revision:
             return Change.STALE
-        if entry is None or entry.replica is None:
+        if entry is None:
             self._entries[instance] = _Entry(revision, None)
             return Change.APPLIED
         entry.revision = revision
+        if entry.replica is None:
+            return Change.APPLIED
         if now < self.trust_removals_at:
             self._held[instance] = self.trust_removals_at
             return Change.HELD
@@ -129,14 +132,9 @@
         for instance in due:
             del self._held[instance]
             self._drop(self._entries[instance], now)
-        over = [
-            entry
-            for entry in self._entries.values()
-            if entry.spare_until is not None and now >= entry.spare_until
-        ]
-        for entry in over:
-            entry.replica = None
-            entry.spare_until = None
+        for entry in self._entries.values():
+            if entry.spare_until is not None and now >= entry.spare_until:
+                entry.replica = None
         return due
 
     def list_instances(self) -> set[replicas.InstanceId]:
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -30,6 +30,18 @@
     assert builders.list_spare_ids(belief, 5.0 + builders.SPARE_S) == []
 
 
+def test_entry_written_again_after_the_spare_time_does_not_bring_it_back():
+    belief = builders.build_view()
+    belief.register(builders.build_registration(), 1, 0.0)
+    belief.register(builders.build_registration(state=DRAINING), 2, 5.0)
+    belief.advance(7.0)
+    belief.register(builders.build_registration(state=DRAINING), 3, 7.5)
+    assert builders.list_spare_ids(belief, 7.6) == []
+    belief.withdraw("i-1", 4, 8.0)
+    belief.register(builders.build_registration(state=DRAINING), 5, 8.5)
+    assert builders.list_spare_ids(belief, 8.6) == []
+
+
 def test_draining_heard_after_an_outage_leaves_no_spare_time():
     belief = builders.build_view()
     belief.register(builders.build_registration(), 1, 0.0)
