--- a/corianderrill/core.py
+++ b/corianderrill/core.py
@@ -17,6 +17,7 @@
     "configuration",
     "timeline",
     "demo",
+    "gateway",
 )
 
 
--- a/corianderrill/gateway/__main__.py
+++ b/corianderrill/gateway/__main__.py
@@ -17,9 +17,10 @@
 
 def main() -> int:
     """Run the gateway of this process."""
+    from corianderrill import context
     from corianderrill.gateway import process
 
-    return int(process.program())
+    return int(process.program(context.Environment()))
 
 
 if __name__ == "__main__":
--- a/corianderrill/gateway/decisions.py
+++ b/corianderrill/gateway/decisions.py
@@ -181,7 +181,9 @@
         """Write one record, or leave it out and count it."""
 
 
-class _Line(msgspec.Struct):
+class Line(msgspec.Struct):
+    """One line of the log; `left_out` counts lines left out since the last."""
+
     time: float
     host: str
     left_out: int
@@ -238,7 +240,7 @@
             return
         left_out = self.left_out - self._left_out_told
         self._left_out_told = self.left_out
-        line = _Line(round(time.time(), 3), self._host, left_out, record)
+        line = Line(round(time.time(), 3), self._host, left_out, record)
         self._lines.append(self._encoder.encode(line))
 
     def flush(self) -> None:
--- a/corianderrill/gateway/front.py
+++ b/corianderrill/gateway/front.py
@@ -8,6 +8,7 @@
 
 from eventlet import hubs, wsgi
 
+from corianderrill import metrics
 from corianderrill.gateway import (
     answers,
     decisions,
@@ -151,7 +152,6 @@
         self._distribution = targets.Distribution(tools.rng)
         self.in_flight = 0
         self.is_leaving = False
-        self.answered: dict[tuple[str, str], int] = {}
 
     def __call__(
         self, environ: dict[str, object], start_response: StartResponse
@@ -297,7 +297,7 @@
         if retry_after_s is not None:
             headers.append(self._draw_retry(retry_after_s))
         configuration = self._tools.view.configuration
-        self._count(route, reason)
+        self._tools.meter.count(metrics.GATEWAY_REFUSALS, reason)
         self._tools.log.record(
             decisions.RequestRefused(
                 request_id=request_id,
@@ -325,7 +325,8 @@
     ) -> None:
         now = time.monotonic()
         took_s = now - work.request.received_at
-        self._count(work.route.name, conclusion.value)
+        missing = sum(slot.reply is None for slot in work.slots)
+        self._count(work.route.name, conclusion, took_s, missing)
         routine = (
             conclusion is operation.Conclusion.ANSWERED and took_s < work.route.goal_s
         )
@@ -341,16 +342,21 @@
                 goal_ms=round(1000 * work.route.goal_s, 1),
                 left_ms=round(1000 * (work.end_at - now), 1),
                 parts=sum(slot.reply is not None for slot in work.slots),
-                missing=sum(slot.reply is None for slot in work.slots),
+                missing=missing,
                 repeats=work.repeats,
                 denied=work.denied,
                 attempts=[] if routine else _tell_attempts(work),
             )
         )
 
-    def _count(self, route: str, outcome: str) -> None:
-        key = (route, outcome)
-        self.answered[key] = self.answered.get(key, 0) + 1
+    def _count(
+        self, route: str, conclusion: operation.Conclusion, took_s: float, missing: int
+    ) -> None:
+        meter = self._tools.meter
+        meter.count(metrics.GATEWAY_REQUESTS, route, conclusion.value)
+        meter.observe(metrics.GATEWAY_SECONDS, took_s, route)
+        if conclusion is operation.Conclusion.PARTIAL:
+            meter.count(metrics.GATEWAY_MISSING_PARTS, by=missing)
 
 
 def _copy_reply(reply: answers.Reply) -> Answer:
--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -14,7 +14,7 @@
 
 from eventlet import event, hubs
 
-from corianderrill import names
+from corianderrill import metrics, names
 from corianderrill.gateway import (
     allowance,
     answers,
@@ -61,6 +61,7 @@
     pools: connections.Pools
     allowance: allowance.Allowance
     log: decisions.Log
+    meter: metrics.Recorder
     rng: random.Random
     by_route: dict[routes.RouteName, waits.Waits] = dataclasses.field(
         default_factory=dict
@@ -233,10 +234,12 @@
             return False
         if not self.tools.allowance.try_spend(slot.service):
             self.denied += 1
+            self.tools.meter.count(metrics.GATEWAY_REPEATS_DENIED)
             return False
         self.repeats += 1
         self._launch(slot, why, now)
         attempt = slot.attempts[-1]
+        self.tools.meter.count(metrics.GATEWAY_REPEATS, why)
         self.tools.log.record(
             decisions.Repeated(
                 request_id=self.request.id,
@@ -265,6 +268,7 @@
                 reply = None
                 verdict = answers.Verdict.UNUSABLE if sent else answers.Verdict.UNSENT
         attempt.outcome = verdict.value
+        self.tools.meter.count(metrics.GATEWAY_ATTEMPTS, verdict.value)
         self._observe(attempt, verdict, now)
         if self.conclusion is not None:
             return
@@ -440,6 +444,7 @@
     def _cancel(self, attempt: Attempt, outcome: str) -> None:
         attempt.ended_at = time.monotonic()
         attempt.outcome = outcome
+        self.tools.meter.count(metrics.GATEWAY_ATTEMPTS, outcome)
         attempt.cancel()
 
     def _give_up(self, attempts: list[Attempt]) -> None:
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -1,16 +1,17 @@
 """One gateway process: its parts, its signals, its end."""
 
 import gc
+import http
 import os
 import random
 import signal
-import sys
 import time
+from collections.abc import Callable, Mapping
 
 import eventlet
 from eventlet import event, wsgi
 
-from corianderrill import status
+from corianderrill import context, metrics, status
 from corianderrill.gateway import (
     allowance,
     connections,
@@ -29,6 +30,8 @@
 BACKLOG = 1024
 CONNECTIONS_AT_MOST = 3000
 METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+SMALL_IDLE_S = 30.0
 # The balancer asks once a second and believes the second answer in a row.
 ANNOUNCE_S = 2.4
 # Ended by itself before the platform does it.
@@ -40,15 +43,17 @@
 SPARE_SHARE = 0.4
 COLLECT_AFTER_OBJECTS = 50_000
 
+Headers = Mapping[str, str]
+
 
 class Process:
     """The gateway of one host."""
 
-    def __init__(self, path: str, values: settings.HostSettings) -> None:
+    def __init__(self, path: str, values: settings.HostSettings, output: int) -> None:
         self._path = path
         self._modified_ns = os.stat(path).st_mtime_ns
         self._values = values
-        self._handler = decisions.BufferedHandler(sys.stdout.fileno(), values.host)
+        self._handler = decisions.BufferedHandler(output, values.host)
         self.log = decisions.LogbookLog("gateway", self._handler)
         self._handler.push_application()
         bounds = values.bounds
@@ -64,6 +69,7 @@
                 bounds.repeat_ratio, bounds.repeat_fixed
             ),
             log=self.log,
+            meter=metrics.Recorder(),
             rng=rng,
         )
         self._front = front.Front(self._tools)
@@ -198,21 +204,34 @@
         known = self._view.configuration is not None
         return known and not self._front.is_leaving
 
-    def _answer_ready(self, path: str) -> tuple[int, str, bytes]:
+    def _answer_ready(self, path: str) -> tuple[http.HTTPStatus, Headers, bytes]:
         if path != requests.READY_PATH:
-            return 404, "text/plain", b""
-        return (200 if self._is_ready() else 503), "text/plain", b""
+            return http.HTTPStatus.NOT_FOUND, {}, b""
+        if self._is_ready():
+            return http.HTTPStatus.OK, {}, b""
+        return http.HTTPStatus.SERVICE_UNAVAILABLE, {}, b""
+
+    def _answer_metrics(self, path: str) -> tuple[http.HTTPStatus, Headers, bytes]:
+        if path != METRICS_PATH:
+            return http.HTTPStatus.NOT_FOUND, {}, b""
+        body, headers = scrape.render(
+            self._tools, self._front, self._follower, self._handler
+        )
+        return http.HTTPStatus.OK, headers, body
 
-    def _answer_metrics(self, path: str) -> tuple[int, str, bytes]:
-        text = scrape.render(self._tools, self._front, self._client, self._handler)
-        return 200, scrape.CONTENT_TYPE, text
 
+def _serve_small(
+    listener: object,
+    answer: Callable[[str], tuple[http.HTTPStatus, Headers, bytes]],
+) -> None:
+    """Serve an address whose answers depend on the path alone."""
 
-def _serve_small(listener: object, answer: object) -> None:
-    def application(environ: dict[str, object], start_response: object) -> list[bytes]:
-        code, kind, body = answer(environ["PATH_INFO"])
-        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
-        start_response(f"{code} {'OK' if code == 200 else 'Unavailable'}", headers)
+    def application(
+        environ: dict[str, object], start_response: front.StartResponse
+    ) -> list[bytes]:
+        code, headers, body = answer(environ["PATH_INFO"])
+        length = ("Content-Length", str(len(body)))
+        start_response(f"{code.value} {code.phrase}", [*headers.items(), length])
         return [body]
 
     wsgi.server(
@@ -221,16 +240,16 @@
         log=wsgi.LoggerNull(),
         log_output=False,
         debug=False,
-        socket_timeout=30.0,
+        socket_timeout=SMALL_IDLE_S,
     )
 
 
-def program() -> status.ExitStatus:
-    """Run a gateway with the settings file that the environment names."""
+def program(environment: context.Environment) -> status.ExitStatus:
+    """Run a gateway with the settings file that the platform names."""
     try:
         path = settings.find_path()
         values = settings.read_settings(path)
     except settings.SettingsError as error:
-        print(f"corianderrill gateway: {error}", file=sys.stderr, flush=True)
+        environment.warn(f"corianderrill gateway: {error}")
         return status.ExitStatus.REJECTED
-    return Process(path, values).run()
+    return Process(path, values, environment.stdout.fileno()).run()
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -1,8 +1,27 @@
 """The metrics of a gateway, as text for a scrape."""
 
-CONTENT_TYPE = "text/plain; version=0.0.4"
+import time
+from collections.abc import Mapping
 
+from corianderrill import metrics
+from corianderrill.gateway import decisions, follower, front, operation
 
-def render(tools, front, client, handler):
-    """Return the metrics."""
-    return b""
+
+def render(
+    tools: operation.Tools,
+    callers: front.Front,
+    following: follower.Follower,
+    handler: decisions.BufferedHandler,
+) -> tuple[bytes, Mapping[str, str]]:
+    """Return the body and the headers of a reply to a scrape."""
+    meter = tools.meter
+    configuration = tools.view.configuration
+    version = 0 if configuration is None else configuration.version
+    meter.set(metrics.REVISION, version)
+    meter.set(metrics.GATEWAY_IN_FLIGHT, callers.in_flight)
+    meter.set(metrics.GATEWAY_CONNECTIONS, tools.pools.count_opened())
+    meter.set(metrics.GATEWAY_STORE_CALLS, following.client.calls)
+    silent_s = time.monotonic() - following.answered_at
+    meter.set(metrics.GATEWAY_STORE_SILENT, round(silent_s, 3))
+    meter.set(metrics.GATEWAY_LINES_LEFT_OUT, handler.left_out)
+    return meter.render()
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -175,6 +175,40 @@
 )
 CLAIMS = _count("claims", "Claims of requests that run at most once.", ("result",), 16)
 
+# Requests of the gateway.
+GATEWAY_REQUESTS = _count(
+    "gateway_requests", "Requests that were sent on.", ("route", "outcome"), 800
+)
+GATEWAY_SECONDS = _time(
+    "gateway_request_duration", "From request to answer.", ("route",), 400
+)
+GATEWAY_REFUSALS = _count(
+    "gateway_refusals", "Requests that were not sent on.", ("reason",), 16
+)
+GATEWAY_ATTEMPTS = _count(
+    "gateway_attempts", "Attempts on replicas by their end.", ("outcome",), 16
+)
+GATEWAY_REPEATS = _count(
+    "gateway_repeats", "Further attempts of a request.", ("reason",), 16
+)
+GATEWAY_REPEATS_DENIED = _count(
+    "gateway_repeats_denied", "Further attempts that the allowance had no room for."
+)
+GATEWAY_MISSING_PARTS = _count(
+    "gateway_missing_parts", "Shards that successful answers leave out."
+)
+GATEWAY_IN_FLIGHT = _gauge("gateway_in_flight", "Requests without an answer.")
+GATEWAY_CONNECTIONS = _gauge(
+    "gateway_connections_opened", "Connections opened to addresses in use."
+)
+GATEWAY_STORE_CALLS = _gauge("gateway_store_calls", "Calls to the platform's store.")
+GATEWAY_STORE_SILENT = _gauge(
+    "gateway_store_silent", "Time since the store answered.", unit="seconds"
+)
+GATEWAY_LINES_LEFT_OUT = _gauge(
+    "gateway_log_lines_left_out", "Log lines over their rate, or not read."
+)
+
 # The process.
 INVARIANT_BREACHES = _count(
     "invariant_breaches",
