--- a/corianderrill/gateway/front.py
+++ b/corianderrill/gateway/front.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Iterable
 
-from eventlet import hubs, wsgi
+from eventlet import event, hubs, wsgi
 
 from corianderrill import metrics
 from corianderrill.gateway import (
@@ -227,10 +227,14 @@
         if connection.requests_served == 0:
             margin_s += FIRST_REQUEST_MARGIN_S
         connection.requests_served += 1
-        work = operation.Operation(self._tools, inbound, route, services, margin_s)
+        concluded = event.Event()
+        work = operation.Operation(
+            self._tools, inbound, route, services, concluded.send, margin_s
+        )
         caller = _CallerWatch(environ["eventlet.input"].get_socket(), work.abandon)
         try:
-            conclusion = work.run()
+            work.start()
+            conclusion = concluded.wait()
         finally:
             caller.stop()
         answer = self._compose(work, conclusion)
--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -1,18 +1,15 @@
 """One request on its way: attempts, hedges, retries, and when its answer goes.
 
 A request to one service has one slot, a query over shards one for each shard. Every
-slot needs one sound reply. The operation runs in callbacks of the event loop; the
-green thread of the request waits once, until the operation concludes.
+slot needs one sound reply. The operation runs in callbacks of the event loop and
+calls back once, when it concludes.
 """
 
 import dataclasses
 import enum
 import math
 import random
-import time
-from collections.abc import Mapping
-
-from eventlet import event, hubs
+from collections.abc import Callable, Mapping
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
@@ -21,6 +18,7 @@
     choice,
     connections,
     decisions,
+    loop,
     replicas,
     routes,
     view,
@@ -62,6 +60,7 @@
     allowance: allowance.Allowance
     log: decisions.Log
     meter: metrics.Recorder
+    loop: loop.Loop
     rng: random.Random
     by_route: dict[routes.RouteName, waits.Waits] = dataclasses.field(
         default_factory=dict
@@ -105,12 +104,12 @@
 
     def render(self) -> bytes:
         """Return the request with what is left of its time."""
-        left_s = self.operation.end_at - time.monotonic()
+        left_s = self.operation.end_at - self.operation.tools.loop.now()
         return self.operation.request.render(self.replica.id, max(left_s, 0.001))
 
     def note_sent(self) -> None:
         """Take note that the request is on its way."""
-        self.sent_at = time.monotonic()
+        self.sent_at = self.operation.tools.loop.now()
 
     def attach(self, connection: connections.Connection) -> None:
         """Take the connection that was waited for."""
@@ -158,9 +157,12 @@
         request: requests.Inbound,
         route: routes.Route,
         services: tuple[names.ServiceName, ...],
+        call_back: Callable[[Conclusion], None],
         answer_margin_s: float = ANSWER_MARGIN_S,
     ) -> None:
         self.tools = tools
+        self._loop = tools.loop
+        self._call_back = call_back
         self.request = request
         self.route = route
         self.is_idempotent = route.repeatability is routes.Repeatability.IDEMPOTENT
@@ -175,23 +177,21 @@
         self._late_at = self._goal_at + LATE_GOALS * route.goal_s
         self._waits = tools.get_waits(route)
         self._needed = _count_needed(route.target, len(self.slots))
-        self._done = event.Event()
         self._timer = None
         self._services: Mapping[names.ServiceName, routes.Service] = {}
 
-    def run(self) -> Conclusion:
-        """Send the request and wait for the conclusion."""
-        now = time.monotonic()
+    def start(self) -> None:
+        """Send the first attempts; the conclusion may follow at once."""
+        now = self._loop.now()
         self._waits.refresh(now)
         self._services = self.tools.view.configuration.services
         self.tools.allowance.earn(tuple(slot.service for slot in self.slots))
         for slot in self.slots:
-            self._launch(slot, "first", now)
-        self._check(time.monotonic())
+            if self.conclusion is None:
+                self._launch(slot, "first", now)
+        self._check(self._loop.now())
         if self.conclusion is None:
-            self._arm(time.monotonic())
-            self._done.wait()
-        return self.conclusion
+            self._arm(self._loop.now())
 
     # Sending.
 
@@ -258,7 +258,7 @@
         self, attempt: Attempt, ended: connections.RawReply | connections.Broken
     ) -> None:
         """Take the end of an attempt."""
-        now = time.monotonic()
+        now = self._loop.now()
         attempt.ended_at = now
         match ended:
             case connections.RawReply():
@@ -337,7 +337,7 @@
         elif now < self._late_at:
             due = min(due, self._late_at)
         delay_s = max(due - now, 0.0)
-        self._timer = hubs.get_hub().schedule_call_global(delay_s, self._tick)
+        self._timer = self._loop.call_later(delay_s, self._tick)
 
     def _next_hedge(self, now: float) -> float:
         if not self.is_idempotent or self.route.max_attempts < 2:
@@ -354,7 +354,7 @@
     def _tick(self) -> None:
         if self.conclusion is not None:
             return
-        now = time.monotonic()
+        now = self._loop.now()
         if self.is_idempotent and self.route.max_attempts > 1:
             self._hedge(now)
         self._check(now)
@@ -435,21 +435,21 @@
             self._give_up(sent)
         elif sent:
             linger_s = LINGER_S if self.is_idempotent else self._read_left()
-            hubs.get_hub().schedule_call_global(linger_s, self._give_up, sent)
-        self._done.send(None)
+            self._loop.call_later(linger_s, self._give_up, sent)
+        self._call_back(conclusion)
 
     def _read_left(self) -> float:
-        return max(self.end_at - time.monotonic(), 0.0) + LINGER_S
+        return max(self.end_at - self._loop.now(), 0.0) + LINGER_S
 
     def _cancel(self, attempt: Attempt, outcome: str) -> None:
-        attempt.ended_at = time.monotonic()
+        attempt.ended_at = self._loop.now()
         attempt.outcome = outcome
         self.tools.meter.count(metrics.GATEWAY_ATTEMPTS, outcome)
         attempt.cancel()
 
     def _give_up(self, attempts: list[Attempt]) -> None:
         """Close what no reply came on; its age is what was seen of the replica."""
-        now = time.monotonic()
+        now = self._loop.now()
         for attempt in attempts:
             if attempt.ended_at is not None:
                 continue
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -18,6 +18,7 @@
     decisions,
     follower,
     front,
+    loop,
     operation,
     scrape,
     view,
@@ -70,6 +71,7 @@
             ),
             log=self.log,
             meter=metrics.Recorder(),
+            loop=loop.EventLoop(),
             rng=rng,
         )
         self._front = front.Front(self._tools)
--- /dev/null
+++ b/tests/test_gateway_choice.py
@@ -0,0 +1,108 @@
+"""Where work goes: one replica in n slow, pauses, failures, a zone away."""
+
+import random
+
+import pytest
+
+from corianderrill import names
+from corianderrill.gateway import choice, replicas
+from tests.utils import gateway_builders as builders
+
+OWN = names.ZoneName("zone-a")
+EXPECTED_S = 0.01
+
+
+@pytest.fixture
+def three():
+    return [
+        builders.build_replica(instance=f"i-{zone}", zone=f"zone-{zone}")
+        for zone in "abc"
+    ]
+
+
+def pick(candidates, now, exclude=()):
+    return choice.choose(candidates, OWN, EXPECTED_S, now, random.Random(1), exclude)
+
+
+def answer(replica, ratio, now, times=1):
+    for number in range(times):
+        replica.start(number, now)
+        replica.answer(number, ratio, now)
+
+
+def test_own_zone_comes_first(three):
+    assert pick(three, 1.0) is three[0]
+
+
+def test_slow_replica_of_the_own_zone_is_left_after_three_slow_replies(three):
+    answer(three[0], 1.0, 1.0, times=4)
+    answer(three[0], 8.0, 1.0, times=2)
+    assert pick(three, 1.0) is three[0]
+    answer(three[0], 8.0, 1.0)
+    assert pick(three, 1.0) is not three[0]
+
+
+def test_one_pause_does_not_drive_work_away(three):
+    answer(three[0], 1.0, 1.0, times=4)
+    answer(three[0], 12.0, 1.0)
+    assert pick(three, 1.0) is three[0]
+
+
+def test_attempt_that_waits_long_drives_work_away_before_its_reply(three):
+    three[0].start("waiting", 1.0)
+    assert pick(three, 1.01) is three[0]
+    assert pick(three, 1.08) is not three[0]
+
+
+def test_slow_replica_is_tried_again_after_some_seconds(three):
+    answer(three[0], 8.0, 1.0, times=5)
+    assert pick(three, 2.0) is not three[0]
+    assert pick(three, 8.0) is three[0]
+
+
+def test_replica_that_is_moderately_slower_keeps_its_zone(three):
+    answer(three[0], 1.6, 1.0, times=5)
+    assert pick(three, 1.0) is three[0]
+
+
+def test_replica_that_sheds_gets_nothing_for_a_moment(three):
+    three[0].start("a", 1.0)
+    three[0].shed("a", 1.0)
+    assert pick(three, 1.01) is not three[0]
+
+
+def test_replica_that_fails_half_of_its_requests_is_left(three):
+    for number in range(6):
+        three[0].start(number, 1.0)
+        if number % 2:
+            three[0].fail(number, 1.0)
+        else:
+            three[0].answer(number, 1.0, 1.0)
+    assert pick(three, 1.0) is not three[0]
+
+
+def test_unreachable_replica_is_asked_only_where_nothing_else_is_left(three):
+    three[0].miss("a", 1.0)
+    assert pick(three, 1.1) is not three[0]
+    assert pick(three[:1], 1.1) is three[0]
+
+
+def test_replica_whose_address_another_server_has_is_never_asked(three):
+    three[0].leave_address("a")
+    assert pick(three[:1], 1.1) is None
+
+
+def test_tried_replicas_are_excluded(three):
+    assert pick(three, 1.0, exclude=three[:1]) in three[1:]
+    assert pick(three, 1.0, exclude=three) is None
+
+
+def test_replica_that_just_started_counts_as_slower():
+    replica = replicas.Replica(builders.build_registration(warmup_s=2.0), 3.0)
+    assert replica.read_slowness(2.0) > replica.read_slowness(3.0)
+
+
+def test_work_spreads_when_the_own_zone_is_full(three):
+    for number in range(8):
+        three[0].start(number, 1.0)
+    assert pick(three, 1.0) is not three[0]
--- /dev/null
+++ b/tests/test_gateway_routes.py
@@ -0,0 +1,74 @@
+import collections
+import random
+
+from corianderrill import names
+from corianderrill.gateway import routes, targets
+from tests.utils import gateway_builders as builders
+
+
+def test_longest_prefix_wins():
+    short = builders.build_route(prefix="/a/", name="short")
+    long = builders.build_route(prefix="/a/b/", name="long")
+    configuration = builders.build_configuration(short, long)
+    assert configuration.find(builders.HOST, "/a/b/c") is long
+    assert configuration.find(builders.HOST, "/a/c/b/") is short
+
+
+def test_prefix_ends_at_a_slash():
+    configuration = builders.build_configuration(builders.build_route(prefix="/a/"))
+    assert configuration.find(builders.HOST, "/ab") is None
+    assert configuration.find(builders.HOST, "/a") is None
+    assert configuration.find(builders.HOST, "/a/") is not None
+
+
+def test_host_is_compared_without_case_and_port():
+    configuration = builders.build_configuration(builders.build_route())
+    assert configuration.find(f"{builders.HOST.upper()}:80", "/a/x") is not None
+    assert configuration.find("other.example", "/a/x") is None
+
+
+def test_path_is_compared_as_sent():
+    configuration = builders.build_configuration(builders.build_route(prefix="/a/"))
+    assert configuration.find(builders.HOST, "/%61/x") is None
+
+
+def test_root_prefix_takes_every_path():
+    configuration = builders.build_configuration(builders.build_route(prefix="/"))
+    assert configuration.find(builders.HOST, "/any/path") is not None
+
+
+def test_split_follows_its_weights_closely_over_few_requests():
+    shares = (
+        routes.Share(names.ServiceName("one"), 0.7),
+        routes.Share(names.ServiceName("two"), 0.3),
+    )
+    route = builders.build_route(routes.Split(shares))
+    distribution = targets.Distribution(random.Random(1))
+    counted = collections.Counter(
+        distribution.list_services(route)[0] for _ in range(100)
+    )
+    assert abs(counted["one"] - 70) <= 2
+
+
+def test_split_follows_new_weights_at_once():
+    distribution = targets.Distribution(random.Random(1))
+    one, two = names.ServiceName("one"), names.ServiceName("two")
+    before = builders.build_route(
+        routes.Split((routes.Share(one, 0.9), routes.Share(two, 0.1)))
+    )
+    after = builders.build_route(
+        routes.Split((routes.Share(one, 0.2), routes.Share(two, 0.8)))
+    )
+    for _ in range(50):
+        distribution.list_services(before)
+    counted = collections.Counter(
+        distribution.list_services(after)[0] for _ in range(100)
+    )
+    assert abs(counted[two] - 80) <= 3
+
+
+def test_gather_goes_to_every_shard():
+    shards = (names.ServiceName("one"), names.ServiceName("two"))
+    route = builders.build_route(routes.Gather(shards, 5, 0.9))
+    distribution = targets.Distribution(random.Random(1))
+    assert distribution.list_services(route) == shards
