Never wait for a reader of the log

Cause (found by its test): the patched write of eventlet waits where a pipe is full, so a reader that stops reading would hold the end of a process.

--- a/corianderrill/gateway/decisions.py
+++ b/corianderrill/gateway/decisions.py
@@ -5,12 +5,15 @@
 """
 
 import collections
-import os
 import time
 from typing import Protocol
 
 import logbook
 import msgspec
+from eventlet import patcher
+
+# The green `write` would wait for a reader that does not read.
+os = patcher.original("os")
 
 LINES_KEPT_AT_MOST = 4_000
 LINES_A_SECOND = 100.0
@@ -254,7 +257,7 @@
                 return
             except OSError:
                 # Nobody can be told: the output is where errors would go.
-                self.left_out += len(self._lines)
+                self.left_out += len(self._lines) + self._rest.count(b"\n")
                 self._lines.clear()
                 self._rest = b""
                 return
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,124 @@
+import json
+import os
+
+import pytest
+
+from corianderrill.gateway import decisions, story
+
+RECORD = decisions.HistoryLost(revision=7)
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def read_lines(reader):
+    os.set_blocking(reader, False)
+    return [json.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+
+
+def test_line_holds_host_time_event_and_fields(pipe):
+    handler = decisions.BufferedHandler(pipe[1], "front-1")
+    log = decisions.LogbookLog("gateway", handler)
+    with handler.applicationbound():
+        log.record(RECORD)
+    handler.flush()
+    (line,) = read_lines(pipe[0])
+    assert line["host"] == "front-1"
+    assert line["record"] == {"event": "store-history-lost", "revision": 7}
+
+
+def test_kind_over_its_rate_is_left_out_and_counted(pipe):
+    handler = decisions.BufferedHandler(pipe[1], "front-1")
+    for _ in range(int(decisions.LINES_IN_BURST) + 50):
+        handler.take("gateway", RECORD)
+    assert handler.left_out > 0
+    handler.take("gateway", decisions.Stopped("finished", 0))
+    handler.flush()
+    assert read_lines(pipe[0])[-1]["left_out"] == handler.left_out
+
+
+def test_reader_that_stops_reading_costs_lines_and_never_blocks(pipe):
+    handler = decisions.BufferedHandler(pipe[1], "front-1")
+    kinds = [
+        decisions.InternalError("here", "x" * 2_000),
+        decisions.EntrySkipped("key", 1, "y" * 2_000),
+        decisions.Reloaded("signal", "refused", "z" * 2_000),
+    ]
+    for _ in range(20):
+        for _ in range(100):
+            for record in kinds:
+                handler.take("gateway", record)
+        handler.flush()
+    assert handler.left_out > 0
+
+
+def test_output_that_is_gone_is_no_failure():
+    reader, writer = os.pipe()
+    handler = decisions.BufferedHandler(writer, "front-1")
+    os.close(reader)
+    handler.take("gateway", RECORD)
+    handler.flush()
+    os.close(writer)
+    assert handler.left_out == 1
+
+
+def build_line(time, record, host="front-1"):
+    return json.loads(
+        decisions.msgspec.json.encode(decisions.Line(time, host, 0, record))
+    )
+
+
+def build_log(*lines):
+    return [json.dumps(line) for line in lines]
+
+
+def build_ended(request_id="q-1", outcome="timed-out"):
+    return decisions.RequestEnded(
+        request_id=request_id,
+        route="r-1",
+        version=3,
+        status=504,
+        outcome=outcome,
+        took_ms=790.0,
+        goal_ms=92.0,
+        left_ms=0.0,
+        parts=9,
+        missing=1,
+        repeats=0,
+        denied=1,
+        attempts=[
+            decisions.AttemptTold("s-1", "i-1", "first", 0.1, 0.2, None, "waiting")
+        ],
+    )
+
+
+def test_story_tells_attempts_and_what_was_believed_of_their_replicas():
+    log = build_log(
+        build_line(95.0, decisions.ReplicaSeen("i-1", "s-1", "draining", 9, "applied")),
+        build_line(95.5, decisions.ReplicaSeen("i-2", "s-1", "draining", 9, "applied")),
+        build_line(96.0, decisions.StoreLost("unreachable", "ReadTimeoutError", 9)),
+        build_line(100.0, build_ended()),
+        build_line(101.0, build_ended("q-2")),
+    )
+    told = "\n".join(story.tell(story.read_logs([log]), "q-1"))
+    assert "status 504, timed-out after 790.0 ms" in told
+    assert "s-1 on i-1 (first): sent at 0.2 ms, no end, waiting" in told
+    assert "'draining'" in told
+    assert "StoreLost" in told
+    assert "q-2" not in told
+    assert "i-2" not in told
+
+
+def test_story_of_a_request_that_no_log_knows_is_empty():
+    assert list(story.tell(story.read_logs([[]]), "q-1")) == []
+
+
+def test_lines_that_are_no_records_are_counted_and_what_stands_before_is_not():
+    lines = ["  1.07 front-1 " + line for line in build_log(build_line(1.0, RECORD))]
+    read = story.read_logs([["Traceback (most recent call last):", *lines]])
+    assert (len(read.lines), read.unread) == (1, 1)
