Let each host use its part of the fixed repeats in every window

Ruled out: sending (first attempts leave within 1.6 ms) and the choice. The margin of an answer grows with its parts.

--- a/corianderrill/gateway/allowance.py
+++ b/corianderrill/gateway/allowance.py
@@ -1,60 +1,95 @@
 """The allowance of repeats: second sends of a request to one service.
 
-All hosts together may repeat a share of the requests and a fixed number more in a
-sliding window. A host earns only from the requests that it received itself, saves
-little, and starts with one repeat, so that the sum over hosts holds for any split
-of the load. How many hosts there are is read from the fixed number, which the
-platform sizes by them.
+In a sliding window, all hosts together may repeat a share of the requests to a
+service and a fixed number more. A host counts only the requests that it received
+itself and uses its part of the fixed number, so that the sum over hosts holds for
+any split of the load. How many hosts there are is read from the fixed number, which
+the platform sizes by them. A host that just started may have spent its part before.
 """
 
+import collections
 import dataclasses
 
 from corianderrill import names
 
+WINDOW_S = 10.0
+SLICE_S = 1.0
 # Below the share that is allowed, since callers count a request only once.
 SHARE_USED = 0.85
-SAVED_AT_START = 1.0
-SAVED_AT_LEAST = 1.2
-SAVED_AT_MOST = 3.8
 # The fixed number is this, and so much more for each host.
 FIXED_BASE = 40.0
 FIXED_A_HOST = 2.0
 HOSTS_AT_LEAST = 4.0
-# Leaves room for hosts that are added.
+# Leaves room for hosts that are added and for those that start again.
 FIXED_USED = 0.75
+PART_AFTER_START = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Slice:
+    start: float
+    requests: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    repeats: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 @dataclasses.dataclass(slots=True)
 class Allowance:
-    """Repeats that this host may still send, for each service."""
+    """Repeats that this host may send, for each service.
+
+    `part` is this host's part of the fixed number; `started_at` when it began.
+    """
 
     share: float
-    saved_at_most: float
-    _saved: dict[names.ServiceName, float] = dataclasses.field(default_factory=dict)
+    part: float
+    started_at: float
     spent: int = 0
     denied: int = 0
+    _slices: collections.deque[_Slice] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    _requests: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    _repeats: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
-    def earn(self, services: tuple[names.ServiceName, ...]) -> None:
+    def earn(self, services: tuple[names.ServiceName, ...], now: float) -> None:
         """Count a request to each of these services."""
-        saved = self._saved
-        for service in services:
-            tokens = saved.get(service, SAVED_AT_START) + self.share
-            saved[service] = min(tokens, self.saved_at_most)
+        self._advance(now)
+        self._requests.update(services)
+        self._slices[-1].requests.update(services)
 
-    def try_spend(self, service: names.ServiceName) -> bool:
+    def try_spend(self, service: names.ServiceName, now: float) -> bool:
         """Take one repeat; false where none is left."""
-        tokens = self._saved.get(service, SAVED_AT_START)
-        if tokens < 1.0:
+        self._advance(now)
+        part = self.part
+        if now - self.started_at < WINDOW_S:
+            part = min(part, PART_AFTER_START)
+        allowed = self.share * self._requests[service] + part
+        if self._repeats[service] + 1 > allowed:
             self.denied += 1
             return False
-        self._saved[service] = tokens - 1.0
+        self._repeats[service] += 1
+        self._slices[-1].repeats[service] += 1
         self.spent += 1
         return True
 
+    def _advance(self, now: float) -> None:
+        """Forget what is older than the window; a slice goes as a whole."""
+        while self._slices and now - self._slices[0].start >= WINDOW_S + SLICE_S:
+            old = self._slices.popleft()
+            self._requests.subtract(old.requests)
+            self._repeats.subtract(old.repeats)
+        if not self._slices or now - self._slices[-1].start >= SLICE_S:
+            self._slices.append(_Slice(now))
+
 
-def build_allowance(ratio: float, fixed: float) -> Allowance:
+def build_allowance(ratio: float, fixed: float, now: float) -> Allowance:
     """Return the allowance of one host from the bounds over all hosts."""
     hosts = max((fixed - FIXED_BASE) / FIXED_A_HOST, HOSTS_AT_LEAST)
-    saved = FIXED_USED * fixed / hosts - SAVED_AT_START
-    saved = min(max(saved, SAVED_AT_LEAST), SAVED_AT_MOST)
-    return Allowance(ratio * SHARE_USED, saved)
+    return Allowance(ratio * SHARE_USED, FIXED_USED * fixed / hosts, now)
--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -26,8 +26,10 @@
 )
 from corianderrill.platform import requests
 
-# From the decision to answer until the caller has the answer.
-ANSWER_MARGIN_S = 0.011
+# From the decision to answer until the caller has the answer; more for each part,
+# whose reply may just be read.
+ANSWER_MARGIN_S = 0.0102
+ANSWER_MARGIN_A_PART_S = 0.00008
 END_MARGIN_S = 0.015
 # After its goal, a query waits this many goals more for the parts still missing.
 LATE_GOALS = 1.0
@@ -173,7 +175,8 @@
         started_at = request.received_at
         left_s = min(request.deadline_s, route.timeout_s)
         self.end_at = started_at + max(left_s - END_MARGIN_S, 0.5 * left_s)
-        self._goal_at = started_at + max(route.goal_s - answer_margin_s, 0.0)
+        margin_s = answer_margin_s + ANSWER_MARGIN_A_PART_S * len(services)
+        self._goal_at = started_at + max(route.goal_s - margin_s, 0.0)
         self._late_at = self._goal_at + LATE_GOALS * route.goal_s
         self._waits = tools.get_waits(route)
         self._needed = _count_needed(route.target, len(self.slots))
@@ -185,7 +188,7 @@
         now = self._loop.now()
         self._waits.refresh(now)
         self._services = self.tools.view.configuration.services
-        self.tools.allowance.earn(tuple(slot.service for slot in self.slots))
+        self.tools.allowance.earn(tuple(slot.service for slot in self.slots), now)
         for slot in self.slots:
             if self.conclusion is None:
                 self._launch(slot, "first", now)
@@ -232,7 +235,7 @@
             return False
         if self._choose(slot, now) is None:
             return False
-        if not self.tools.allowance.try_spend(slot.service):
+        if not self.tools.allowance.try_spend(slot.service, now):
             self.denied += 1
             self.tools.meter.count(metrics.GATEWAY_REPEATS_DENIED)
             return False
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -67,7 +67,7 @@
             view=self._view,
             pools=self._pools,
             allowance=allowance.build_allowance(
-                bounds.repeat_ratio, bounds.repeat_fixed
+                bounds.repeat_ratio, bounds.repeat_fixed, time.monotonic()
             ),
             log=self.log,
             meter=metrics.Recorder(),
@@ -170,9 +170,11 @@
         bounds = values.bounds
         self._view.spare_s = SPARE_SHARE * bounds.drain_s
         self._follower.follow_within(min(bounds.apply_s, bounds.drain_s))
-        fresh = allowance.build_allowance(bounds.repeat_ratio, bounds.repeat_fixed)
+        fresh = allowance.build_allowance(
+            bounds.repeat_ratio, bounds.repeat_fixed, time.monotonic()
+        )
         self._tools.allowance.share = fresh.share
-        self._tools.allowance.saved_at_most = fresh.saved_at_most
+        self._tools.allowance.part = fresh.part
         self._values = values
         self.log.record(decisions.Reloaded(reason, "in-force"))
 
