--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -30,7 +30,6 @@
 SETTINGS_CHECK_S = 2.0
 BACKLOG = 1024
 CONNECTIONS_AT_MOST = 3000
-METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 SMALL_IDLE_S = 30.0
 # The balancer asks once a second and believes the second answer in a row.
@@ -90,7 +89,7 @@
             (values.requests_at.ip, values.requests_at.port), backlog=BACKLOG
         )
         readiness = eventlet.listen((values.readiness_at.ip, values.readiness_at.port))
-        metrics = eventlet.listen((values.requests_at.ip, METRICS_PORT))
+        scrapes = eventlet.listen((values.metrics_at.ip, values.metrics_at.port))
         signal.signal(signal.SIGTERM, self._take_term)
         signal.signal(signal.SIGINT, self._take_term)
         signal.signal(signal.SIGHUP, self._take_hup)
@@ -99,7 +98,7 @@
         eventlet.spawn(self._flush)
         eventlet.spawn(self._check_settings)
         eventlet.spawn(_serve_small, readiness, self._answer_ready)
-        eventlet.spawn(_serve_small, metrics, self._answer_metrics)
+        eventlet.spawn(_serve_small, scrapes, self._answer_metrics)
         self._server = eventlet.spawn(self._serve_callers)
         self.log.record(
             decisions.Started(values.host, values.zone, str(values.requests_at))
--- a/corianderrill/platform/settings.py
+++ b/corianderrill/platform/settings.py
@@ -9,6 +9,8 @@
 from corianderrill import names
 
 PATH_VARIABLE = "CORIANDERRILL_SETTINGS"
+METRICS_PORT_VARIABLE = "CORIANDERRILL_METRICS_PORT"
+METRICS_PORT = 9464
 
 
 class SettingsError(Exception):
@@ -38,6 +40,7 @@
     zone: names.ZoneName
     requests_at: names.Address
     readiness_at: names.Address
+    metrics_at: names.Address
     store_at: names.Address
     bounds: Bounds
 
@@ -57,11 +60,13 @@
             fields = tomllib.load(file)
     except (OSError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
+    requests_at = parse_address(_find(fields, "listen.front", str))
     return HostSettings(
         host=names.HostName(_find(fields, "node_name", str)),
         zone=names.ZoneName(_find(fields, "zone", str)),
-        requests_at=parse_address(_find(fields, "listen.front", str)),
+        requests_at=requests_at,
         readiness_at=parse_address(_find(fields, "listen.ready_addr", str)),
+        metrics_at=names.Address(requests_at.ip, _read_metrics_port()),
         store_at=parse_address(_find(fields, "platform.address", str)),
         bounds=Bounds(
             drain_s=_find(fields, "bounds.drain_ms", float) / 1000,
@@ -73,6 +78,11 @@
     )
 
 
+def _read_metrics_port() -> int:
+    text = os.environ.get(METRICS_PORT_VARIABLE, str(METRICS_PORT))
+    return parse_address(f"{METRICS_PORT_VARIABLE}:{text}").port
+
+
 def _find(fields: Mapping[str, Any], name: str, kind: type) -> Any:
     value: Any = fields
     for key in name.split("."):
