--- a/corianderrill/gateway/allowance.py
+++ b/corianderrill/gateway/allowance.py
@@ -89,7 +89,12 @@
             self._slices.append(_Slice(now))
 
 
+def estimate_hosts(fixed: float) -> float:
+    """Return the number of hosts that the fixed number is sized for."""
+    return max((fixed - FIXED_BASE) / FIXED_A_HOST, HOSTS_AT_LEAST)
+
+
 def build_allowance(ratio: float, fixed: float, now: float) -> Allowance:
     """Return the allowance of one host from the bounds over all hosts."""
-    hosts = max((fixed - FIXED_BASE) / FIXED_A_HOST, HOSTS_AT_LEAST)
-    return Allowance(ratio * SHARE_USED, FIXED_USED * fixed / hosts, now)
+    part = FIXED_USED * fixed / estimate_hosts(fixed)
+    return Allowance(ratio * SHARE_USED, part, now)
--- a/corianderrill/gateway/choice.py
+++ b/corianderrill/gateway/choice.py
@@ -4,19 +4,22 @@
 from collections.abc import Collection, Sequence
 
 from corianderrill import names
-from corianderrill.gateway import replicas
+from corianderrill.gateway import replicas, zones
 
 # Bytes between availability zones cost money, and the way is longer.
 OTHER_ZONE_FACTOR = 2.6
 OTHER_ZONE_S = 0.004
+# Asked only where nothing else is left.
+SUSPECT_ZONE_S = 1.0
 # A reply that fails costs the time of a second one and an attempt.
-FAILURE_FACTOR = 6.0
+FAILURE_FACTOR = 8.0
 JITTER = 0.05
 
 
 def choose(
     candidates: Sequence[replicas.Replica],
     zone: names.ZoneName,
+    silence: zones.Zones,
     expected_s: float,
     now: float,
     rng: random.Random,
@@ -31,13 +34,18 @@
     return min(
         usable,
         key=lambda replica: (
-            compute_cost(replica, zone, expected_s, now) * (1.0 + JITTER * rng.random())
+            compute_cost(replica, zone, silence, expected_s, now)
+            * (1.0 + JITTER * rng.random())
         ),
     )
 
 
 def compute_cost(
-    replica: replicas.Replica, zone: names.ZoneName, expected_s: float, now: float
+    replica: replicas.Replica,
+    zone: names.ZoneName,
+    silence: zones.Zones,
+    expected_s: float,
+    now: float,
 ) -> float:
     """Return the time to a usable reply to expect, in seconds."""
     estimate_s = expected_s * replica.read_slowness(now)
@@ -48,4 +56,6 @@
     estimate_s *= 1.0 + FAILURE_FACTOR * replica.read_failure_share(now)
     if replica.registration.zone != zone:
         estimate_s = OTHER_ZONE_FACTOR * estimate_s + OTHER_ZONE_S
+    if silence.is_suspect(replica.registration.zone, now):
+        estimate_s += SUSPECT_ZONE_S
     return estimate_s
--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import errno
+import math
 import socket as socket_constants
 import time
 from collections.abc import Callable
@@ -32,9 +33,15 @@
 IDLE_MARGIN_S = 0.6
 IDLE_UNTOLD_S = 4.0
 IDLE_SHARE_AT_MOST_ONCE = 0.4
-# A host's part of the connections that a replica takes from all callers.
+# A host's part of the connections that a replica takes from all callers: never more
+# than one in so many, and more of a replica in the own zone than of one elsewhere.
 CAP_PARTS = 8
-CONNECTIONS_AT_LEAST = 2
+NEAR_SHARES = 4
+FAR_SHARES = 2
+NEAR_AT_LEAST = 2
+FAR_AT_LEAST = 1
+# Where connections are scarce, hosts of other zones give them back soon.
+FAR_IDLE_S = 1.0
 # `TCP_USER_TIMEOUT` of Linux.
 TCP_USER_TIMEOUT = getattr(socket_constants, "TCP_USER_TIMEOUT", 18)
 
@@ -333,9 +340,15 @@
 class Pool:
     """The connections of this host to one address."""
 
-    def __init__(self, address: names.Address, connections_at_most: int) -> None:
+    def __init__(
+        self,
+        address: names.Address,
+        connections_at_most: int,
+        idle_at_most_s: float = math.inf,
+    ) -> None:
         self.address = address
         self.connections_at_most = connections_at_most
+        self.idle_at_most_s = idle_at_most_s
         self.opened = 0
         self._all: set[Connection] = set()
         self._idle: list[Connection] = []
@@ -363,7 +376,7 @@
         now = time.monotonic()
         while self._idle:
             connection = self._idle[-1]
-            idle_s = connection.idle_s
+            idle_s = min(connection.idle_s, self.idle_at_most_s)
             if not sender.idempotent:
                 idle_s *= IDLE_SHARE_AT_MOST_ONCE
             if now - connection.idle_since < idle_s:
@@ -395,6 +408,15 @@
         if sender in self._waiting:
             self._waiting.remove(sender)
 
+    def close_overdue(self) -> None:
+        """Close the connections that idled for longer than they may."""
+        if not self._idle:
+            return
+        now = time.monotonic()
+        for connection in list(self._idle):
+            if now - connection.idle_since > self.idle_at_most_s:
+                connection.close_idle()
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         for connection in list(self._idle):
@@ -402,20 +424,33 @@
 
 
 class Pools:
-    """The pools of a host, by address."""
+    """The pools of a host, by address; `hosts` share the connections of a replica."""
 
-    def __init__(self) -> None:
+    def __init__(self, hosts: float) -> None:
+        self._hosts = hosts
         self._pools: dict[names.Address, Pool] = {}
 
-    def get(self, address: names.Address, cap: int) -> Pool:
+    def get(self, address: names.Address, cap: int, is_near: bool) -> Pool:
         """Return the pool of an address whose server takes `cap` connections."""
-        most = max(CONNECTIONS_AT_LEAST, cap // CAP_PARTS)
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = Pool(address, most)
-        pool.connections_at_most = most
+            pool = self._pools[address] = Pool(address, 1)
+        share = cap / self._hosts
+        if is_near:
+            part = min(cap // CAP_PARTS, int(NEAR_SHARES * share))
+            pool.connections_at_most = max(NEAR_AT_LEAST, part)
+            return pool
+        part = min(cap // CAP_PARTS, int(FAR_SHARES * share))
+        pool.connections_at_most = max(FAR_AT_LEAST, part)
+        if pool.connections_at_most == FAR_AT_LEAST:
+            pool.idle_at_most_s = FAR_IDLE_S
         return pool
 
+    def tidy(self) -> None:
+        """Close connections that idled for longer than they may."""
+        for pool in self._pools.values():
+            pool.close_overdue()
+
     def retain(self, addresses: set[names.Address]) -> None:
         """Close the idle connections of all other addresses and forget them."""
         for address in self._pools.keys() - addresses:
--- a/corianderrill/gateway/decisions.py
+++ b/corianderrill/gateway/decisions.py
@@ -91,6 +91,13 @@
     outcome: str
 
 
+class ZoneSuspected(msgspec.Struct, tag="zone-suspected", tag_field="event"):
+    """No replica of a zone answered for a while; others are asked first."""
+
+    zone: str
+    replica: str
+
+
 class EntrySkipped(msgspec.Struct, tag="entry-skipped", tag_field="event"):
     """An entry of the store could not be used."""
 
@@ -169,6 +176,7 @@
     | HistoryLost
     | ConfigurationSeen
     | ReplicaSeen
+    | ZoneSuspected
     | EntrySkipped
     | RequestEnded
     | RequestRefused
--- a/corianderrill/gateway/front.py
+++ b/corianderrill/gateway/front.py
@@ -25,6 +25,8 @@
 RETRY_SOON_S = 0.05
 RETRY_SPREAD_S = 0.15
 RETRY_WITHOUT_CONFIGURATION_S = 0.5
+# A host that is cut off tries so often whether it still is.
+TRY_EVERY_S = 0.4
 # Most requests end sooner, and need no look at their caller's connection.
 WATCH_CALLER_AFTER_S = 0.1
 # A connection that was just set up took its caller two ways more.
@@ -150,6 +152,7 @@
     def __init__(self, tools: operation.Tools) -> None:
         self._tools = tools
         self._distribution = targets.Distribution(tools.rng)
+        self._tried_at = 0.0
         self.in_flight = 0
         self.is_leaving = False
 
@@ -218,10 +221,9 @@
         route: routes.Route,
     ) -> Answer | None:
         services = self._distribution.list_services(route)
-        if not self._can_serve(route, services, inbound.received_at):
-            return self._refuse(
-                inbound.id, route.name, 503, "no-replicas", RETRY_SOON_S
-            )
+        reason = self._find_obstacle(route, services, inbound.received_at)
+        if reason is not None:
+            return self._refuse(inbound.id, route.name, 503, reason, RETRY_SOON_S)
         connection = environ["corianderrill.connection"]
         margin_s = operation.ANSWER_MARGIN_S
         if connection.requests_served == 0:
@@ -241,20 +243,34 @@
         self._record(work, conclusion, answer)
         return answer
 
-    def _can_serve(
+    def _find_obstacle(
         self, route: routes.Route, services: tuple[str, ...], now: float
-    ) -> bool:
-        """Tell whether enough services have a replica to ask."""
+    ) -> str | None:
+        """Return why a request is known not to be servable, if it is."""
+        least = 1.0
+        if isinstance(route.target, routes.Gather):
+            least = max(1.0, route.target.min_coverage * len(services) - 1e-9)
+        known = [service for service in services if self._list_replicas(service, now)]
+        if len(known) < least:
+            return "no-replicas"
+        if sum(self._is_in_reach(service, now) for service in known) >= least:
+            return None
+        if now - self._tried_at >= TRY_EVERY_S:
+            # Shows when the zones are back.
+            self._tried_at = now
+            return None
+        return "zones-cut-off"
+
+    def _list_replicas(self, service: str, now: float) -> list[replicas.Replica]:
         view = self._tools.view
-        known = sum(
-            bool(view.list_ready(service) or view.list_spare(service, now))
-            for service in services
+        return view.list_ready(service) or view.list_spare(service, now)
+
+    def _is_in_reach(self, service: str, now: float) -> bool:
+        zones = self._tools.zones
+        return any(
+            not zones.is_suspect(replica.registration.zone, now)
+            for replica in self._list_replicas(service, now)
         )
-        match route.target:
-            case routes.Gather(min_coverage=least):
-                return known >= max(1, least * len(services) - 1e-9)
-            case _:
-                return known > 0
 
     # Answers.
 
--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -9,7 +9,7 @@
 import enum
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
@@ -23,6 +23,7 @@
     routes,
     view,
     waits,
+    zones,
 )
 from corianderrill.platform import requests
 
@@ -37,6 +38,8 @@
 LINGER_S = 0.3
 HEDGE_RETRY_S = 0.006
 UNSENT_AT_MOST = 3
+# An attempt that waits for so many hedge delays is a sign of silence.
+SILENCE_HEDGES = 2.0
 DEFAULT_CAP = 16
 
 
@@ -64,6 +67,7 @@
     meter: metrics.Recorder
     loop: loop.Loop
     rng: random.Random
+    zones: zones.Zones
     by_route: dict[routes.RouteName, waits.Waits] = dataclasses.field(
         default_factory=dict
     )
@@ -141,9 +145,15 @@
     verdict: answers.Verdict | None = None
     is_over: bool = False
 
-    def count_sends(self) -> int:
-        """Return the attempts that may have reached a replica."""
-        return sum(attempt.outcome != "unsent" for attempt in self.attempts)
+    def list_asked(self) -> list[replicas.Replica]:
+        """Return the replicas that an attempt may have reached."""
+        reached = [a.replica for a in self.attempts if a.outcome != "unsent"]
+        return list(dict.fromkeys(reached))
+
+    def list_refusing(self) -> list[replicas.Replica]:
+        """Return the replicas that refused, and may be asked once more."""
+        refused = [a.replica for a in self.attempts if a.outcome == "not-run"]
+        return [replica for replica in refused if refused.count(replica) == 1]
 
     def is_waiting(self) -> bool:
         """Tell whether an attempt has not ended."""
@@ -210,29 +220,49 @@
         replica.start(attempt, now)
         service = self._services.get(slot.service)
         cap = DEFAULT_CAP if service is None else service.max_connections
-        attempt.pool = self.tools.pools.get(replica.registration.address, cap)
+        is_near = replica.registration.zone == self.tools.zone
+        address = replica.registration.address
+        attempt.pool = self.tools.pools.get(address, cap, is_near)
         connection = attempt.pool.send(attempt)
         if attempt.connection is None:
             attempt.connection = connection
         return True
 
     def _choose(self, slot: Slot, now: float) -> replicas.Replica | None:
-        tools = self.tools
+        """Return the best replica that the route allows for one more attempt.
+
+        Where no further replica is allowed, one that refused may be asked again.
+        """
+        view = self.tools.view
+        if len(slot.list_asked()) >= self.route.max_attempts:
+            return self._choose_of(slot.list_refusing(), now)
         tried = [attempt.replica for attempt in slot.attempts]
-        candidates = tools.view.list_ready(slot.service)
-        expected_s = self._waits.expected_s
-        chosen = choice.choose(
-            candidates, tools.zone, expected_s, now, tools.rng, tried
+        ready = view.list_ready(slot.service)
+        return (
+            self._choose_of(ready, now, tried)
+            or self._choose_of(view.list_spare(slot.service, now), now, tried)
+            or self._choose_of(slot.list_refusing(), now)
+        )
+
+    def _choose_of(
+        self,
+        candidates: list[replicas.Replica],
+        now: float,
+        tried: Collection[replicas.Replica] = (),
+    ) -> replicas.Replica | None:
+        tools = self.tools
+        return choice.choose(
+            candidates,
+            tools.zone,
+            tools.zones,
+            self._waits.expected_s,
+            now,
+            tools.rng,
+            tried,
         )
-        if chosen is not None:
-            return chosen
-        spare = tools.view.list_spare(slot.service, now)
-        return choice.choose(spare, tools.zone, expected_s, now, tools.rng, tried)
 
     def _repeat(self, slot: Slot, why: str, waited_s: float, now: float) -> bool:
         """Send one more attempt if route, allowance and replicas permit it."""
-        if slot.count_sends() >= self.route.max_attempts:
-            return False
         if self._choose(slot, now) is None:
             return False
         if not self.tools.allowance.try_spend(slot.service, now):
@@ -272,6 +302,8 @@
                 verdict = answers.Verdict.UNUSABLE if sent else answers.Verdict.UNSENT
         attempt.outcome = verdict.value
         self.tools.meter.count(metrics.GATEWAY_ATTEMPTS, verdict.value)
+        if reply is not None:
+            self.tools.zones.note_answer(attempt.replica.registration.zone, now)
         self._observe(attempt, verdict, now)
         if self.conclusion is not None:
             return
@@ -348,7 +380,7 @@
         due = [
             slot.attempts[-1].started_at + self._waits.hedge_s
             for slot in self.slots
-            if not slot.is_over and slot.count_sends() < self.route.max_attempts
+            if not slot.is_over and len(slot.list_asked()) < self.route.max_attempts
         ]
         if not due:
             return math.inf
@@ -366,7 +398,7 @@
 
     def _hedge(self, now: float) -> None:
         for slot in self.slots:
-            if slot.is_over:
+            if slot.is_over or len(slot.list_asked()) >= self.route.max_attempts:
                 continue
             waited_s = now - slot.attempts[-1].started_at
             if waited_s >= self._waits.hedge_s:
@@ -434,6 +466,7 @@
             attempt.replica.abandon(attempt)
             self._cancel(attempt, "withdrawn")
         sent = [attempt for attempt in waiting if attempt.sent_at is not None]
+        self._note_silence(waiting)
         if sent and conclusion is Conclusion.ABANDONED and self.is_idempotent:
             self._give_up(sent)
         elif sent:
@@ -441,6 +474,17 @@
             self._loop.call_later(linger_s, self._give_up, sent)
         self._call_back(conclusion)
 
+    def _note_silence(self, waiting: list[Attempt]) -> None:
+        """Note the zones of attempts that waited long, connected or not."""
+        now = self._loop.now()
+        long_s = SILENCE_HEDGES * self._waits.hedge_s
+        for attempt in waiting:
+            if now - attempt.started_at < long_s:
+                continue
+            zone = attempt.replica.registration.zone
+            if self.tools.zones.note_silence(zone, attempt.started_at, now):
+                self.tools.log.record(decisions.ZoneSuspected(zone, attempt.replica.id))
+
     def _read_left(self) -> float:
         return max(self.end_at - self._loop.now(), 0.0) + LINGER_S
 
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -22,6 +22,7 @@
     operation,
     scrape,
     view,
+    zones,
 )
 from corianderrill.platform import requests, settings, store
 
@@ -60,7 +61,7 @@
         self._view = view.View(spare_s=SPARE_SHARE * bounds.drain_s)
         # Each host draws its own; nothing here depends on the sequence.
         rng = random.Random()
-        self._pools = connections.Pools()
+        self._pools = connections.Pools(allowance.estimate_hosts(bounds.repeat_fixed))
         self._tools = operation.Tools(
             zone=values.zone,
             view=self._view,
@@ -72,6 +73,7 @@
             meter=metrics.Recorder(),
             loop=loop.EventLoop(),
             rng=rng,
+            zones=zones.Zones(),
         )
         self._front = front.Front(self._tools)
         self._client = store.StoreClient(values.store_at)
@@ -135,6 +137,7 @@
         while True:
             eventlet.sleep(TIDY_S)
             self._follower.tidy()
+            self._pools.tidy()
 
     def _flush(self) -> None:
         while True:
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -18,8 +18,9 @@
 RATIOS_KEPT = 5
 # A replica that gets no requests is slowly taken for normal again, and so tried.
 SLOWNESS_HALF_LIFE_S = 1.5
-FAILURE_WEIGHT = 0.25
-FAILURE_HALF_LIFE_S = 2.0
+FAILURE_HALF_LIFE_S = 3.0
+# Counts as so many good replies, so that one failure among many weighs little.
+FAILURE_PRIOR = 1.0
 SHED_BACKOFF_BASE_S = 0.03
 SHED_BACKOFF_MAX_S = 0.5
 UNREACHABLE_BACKOFF_BASE_S = 0.25
@@ -64,8 +65,9 @@
     slowness: float = 1.0
     seen_at: float = 0.0
     waiting: dict[object, float] = dataclasses.field(default_factory=dict)
-    failure_share: float = 0.0
-    failed_at: float = 0.0
+    failures: float = 0.0
+    ends: float = 0.0
+    counted_at: float = 0.0
     sheds_in_row: int = 0
     shed_until: float = 0.0
     unreachable_in_row: int = 0
@@ -132,16 +134,20 @@
         self.seen_at = now
 
     def _note_failure(self, failed: float, now: float) -> None:
-        current = self.read_failure_share(now)
-        self.failure_share = current + FAILURE_WEIGHT * (failed - current)
-        self.failed_at = now
+        fading = self._read_fading(now)
+        self.failures = fading * self.failures + failed
+        self.ends = fading * self.ends + 1.0
+        self.counted_at = now
+
+    def _read_fading(self, now: float) -> float:
+        return 0.5 ** (max(0.0, now - self.counted_at) / FAILURE_HALF_LIFE_S)
 
     def read_failure_share(self, now: float) -> float:
         """Return the recent share of failures, 0 to 1, fading with time."""
-        if self.failure_share < 0.01:
+        if self.failures < 0.05:
             return 0.0
-        age_s = max(0.0, now - self.failed_at)
-        return self.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+        fading = self._read_fading(now)
+        return fading * self.failures / (fading * self.ends + FAILURE_PRIOR)
 
     def read_slowness(self, now: float) -> float:
         """Return how many times slower than expected the replica is."""
