End the scripts of test servers before their sockets

Cause (one error at the setup of a process test): a thread that still read from a socket closed under it ended the event loop with EOFError. Ruled out: the gateway's own connections, which are not green sockets.

--- a/tests/utils/scripted_servers.py
+++ b/tests/utils/scripted_servers.py
@@ -45,20 +45,23 @@
     """Serve each new connection by the next script; yield a pool of its address."""
     listener = eventlet.listen(("127.0.0.1", 0))
     accepted = []
+    threads = []
 
     def accept():
         for script in scripts:
             connection, _ = listener.accept()
             accepted.append(connection)
-            eventlet.spawn(script, connection)
+            threads.append(eventlet.spawn(script, connection))
 
-    thread = eventlet.spawn(accept)
+    threads.append(eventlet.spawn(accept))
     address = names.Address(*listener.getsockname())
     pool = connections.Pool(address, 2)
     try:
         yield pool
     finally:
-        thread.kill()
+        # A thread that still reads would take the close of its socket for a failure.
+        for thread in threads:
+            thread.kill()
         listener.close()
         for connection in accepted:
             connection.close()
