--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import itertools
 import math
 import random
 from collections.abc import Callable, Collection, Mapping
@@ -142,7 +143,6 @@
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     reply: answers.Reply | None = None
     failure: answers.Reply | None = None
-    verdict: answers.Verdict | None = None
     is_over: bool = False
 
     def list_asked(self) -> list[replicas.Replica]:
@@ -180,6 +180,8 @@
         self.is_idempotent = route.repeatability is routes.Repeatability.IDEMPOTENT
         self.slots = [Slot(service) for service in services]
         self.conclusion: Conclusion | None = None
+        self._good = 0
+        self._over = 0
         self.repeats = 0
         self.denied = 0
         started_at = request.received_at
@@ -213,7 +215,7 @@
         replica = self._choose(slot, now)
         if replica is None:
             if not slot.is_waiting():
-                slot.is_over = True
+                self._end_slot(slot)
             return False
         attempt = Attempt(self, slot, replica, why, now)
         slot.attempts.append(attempt)
@@ -340,11 +342,11 @@
             return
         if verdict is answers.Verdict.GOOD:
             slot.reply = reply
-            slot.is_over = True
+            self._good += 1
+            self._end_slot(slot)
             return
         if verdict is answers.Verdict.FAILED:
             slot.failure = reply
-        slot.verdict = _merge_verdicts(slot.verdict, verdict)
         waited_s = now - attempt.started_at
         if verdict is answers.Verdict.UNSENT:
             if len(slot.attempts) <= UNSENT_AT_MOST and self._launch(
@@ -356,7 +358,12 @@
         ):
             return
         if not slot.is_waiting():
+            self._end_slot(slot)
+
+    def _end_slot(self, slot: Slot) -> None:
+        if not slot.is_over:
             slot.is_over = True
+            self._over += 1
 
     def _may_retry(self, verdict: answers.Verdict) -> bool:
         if verdict in (answers.Verdict.NOT_RUN, answers.Verdict.ELSEWHERE):
@@ -411,8 +418,8 @@
         if self.conclusion is not None:
             return
         total = len(self.slots)
-        good = sum(slot.reply is not None for slot in self.slots)
-        over = sum(slot.is_over for slot in self.slots)
+        good = self._good
+        over = self._over
         possible = total - over + good
         if good == total:
             self._conclude(Conclusion.ANSWERED)
@@ -435,16 +442,10 @@
     def _describe_failure(self) -> Conclusion:
         if len(self.slots) == 1 and self.slots[0].failure is not None:
             return Conclusion.FAILED
-        harmless = (
-            answers.Verdict.NOT_RUN,
-            answers.Verdict.ELSEWHERE,
-            answers.Verdict.UNSENT,
-            None,
-        )
-        lost = [slot for slot in self.slots if slot.is_over and slot.reply is None]
-        if all(slot.verdict in harmless for slot in lost):
-            return Conclusion.NOT_RUN
-        return Conclusion.BROKEN
+        attempts = itertools.chain.from_iterable(slot.attempts for slot in self.slots)
+        if any(_may_have_run(attempt) for attempt in attempts):
+            return Conclusion.BROKEN
+        return Conclusion.NOT_RUN
 
     def abandon(self) -> None:
         """End the operation since its caller has left."""
@@ -514,9 +515,13 @@
             return 1
 
 
-def _merge_verdicts(
-    before: answers.Verdict | None, now: answers.Verdict
-) -> answers.Verdict:
-    """Keep the verdict that says that something may have run."""
-    may_have_run = (answers.Verdict.FAILED, answers.Verdict.UNUSABLE)
-    return before if before in may_have_run else now
+def _may_have_run(attempt: Attempt) -> bool:
+    """Tell whether a replica may have begun to work, as far as is known now."""
+    harmless = (
+        answers.Verdict.NOT_RUN.value,
+        answers.Verdict.ELSEWHERE.value,
+        answers.Verdict.UNSENT.value,
+    )
+    if attempt.ended_at is None:
+        return attempt.sent_at is not None
+    return attempt.outcome not in harmless
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -129,15 +129,36 @@
 
 
 def test_query_that_cannot_reach_its_coverage_fails_at_once():
+    """Other shards run their parts, so nothing is promised."""
     site = virtual_servers.Site(min_coverage=1.0, max_attempts=1)
     for server in site.servers[:3]:
         server.down = [(0.0, 10.0)]
     site.ask()
     site.loop.run_until(1.0)
-    assert site.ended[0].conclusion is operation.Conclusion.NOT_RUN
+    assert site.ended[0].conclusion is operation.Conclusion.BROKEN
     assert site.ended[0].took_s < 0.02
 
 
+def test_query_that_all_shards_refuse_has_not_run():
+    site = virtual_servers.Site(max_attempts=1, min_coverage=0.1)
+    for server in site.servers:
+        server.shed_share = 1.0
+    site.ask()
+    site.loop.run_until(1.0)
+    assert site.ended[0].conclusion is operation.Conclusion.NOT_RUN
+
+
+def test_query_with_one_part_that_may_have_run_promises_nothing():
+    site = virtual_servers.Site(max_attempts=1)
+    for server in site.servers[3:]:
+        server.shed_share = 1.0
+    for server in site.servers[:3]:
+        server.silent = [(0.0, 10.0)]
+    site.ask()
+    site.loop.run_until(1.0)
+    assert site.ended[0].conclusion is operation.Conclusion.BROKEN
+
+
 def build_single(**fields):
     service = names.ServiceName("shard-0")
     return virtual_servers.Site(
