Spend no hedge on a replica that cannot be reached

Ruled out: the first choice, which falls back to them only while the slow one sheds. Test fails first.

--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -34,6 +34,7 @@
 LINGER_S = 0.3
 HEDGE_RETRY_S = 0.006
 UNSENT_AT_MOST = 3
+HEDGE = "hedge"
 # An attempt that waits for so many hedge delays is a sign of silence.
 SILENCE_HEDGES = 2.0
 DEFAULT_CAP = 16
@@ -158,7 +159,11 @@
         self, slot: attempts.Slot, why: str, waited_s: float, now: float
     ) -> bool:
         """Send one more attempt if route, allowance and replicas permit it."""
-        if self._choose(slot, now) is None:
+        replica = self._choose(slot, now)
+        if replica is None:
+            return False
+        if why == HEDGE and not replica.is_available(now):
+            # The first attempt is likelier to end than one that cannot connect.
             return False
         if not self.tools.allowance.try_spend(slot.service, now):
             self.denied += 1
@@ -306,7 +311,7 @@
                 continue
             waited_s = now - slot.attempts[-1].started_at
             if waited_s >= self._waits.hedge_s:
-                self._repeat(slot, "hedge", waited_s, now)
+                self._repeat(slot, HEDGE, waited_s, now)
 
     # The conclusion.
 
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -159,6 +159,23 @@
     assert site.ended[0].conclusion is operation.Conclusion.BROKEN
 
 
+def test_hedge_is_not_spent_on_replicas_that_cannot_be_reached():
+    """A shard with one slow replica while the others are down."""
+    site = virtual_servers.Site(seed=1)
+    site.servers[0].slow = [(0.0, 30.0, 8.0)]
+    for server in site.servers[1:3]:
+        server.down = [(0.0, 30.0)]
+    site.run(20, 10.0)
+    wasted = [
+        attempt
+        for work in site.works
+        for attempt in work.slots[0].attempts
+        if (attempt.why, attempt.outcome) == (operation.HEDGE, "unsent")
+    ]
+    # Each replica is found to be down by one attempt now and then.
+    assert len(wasted) < 5
+
+
 def build_single(**fields):
     service = names.ServiceName("shard-0")
     return virtual_servers.Site(
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -251,6 +251,7 @@
             zones=zones.Zones(),
         )
         self.ended = []
+        self.works = []
         self.asked = 0
 
     def ask(self):
@@ -286,6 +287,7 @@
             services = (self.route.target.service,)
         work = operation.Operation(self.tools, inbound, self.route, services, conclude)
         holder.append(work)
+        self.works.append(work)
         work.start()
         return work
 
