Know slow and refusing replicas also where each is asked seldom

Change: replies older than 5 s do not count, what was seen lasts for three of the intervals at which a replica is asked, failures count at most 8 ends over 5 s; a host that just started waits 0.25 s for its configuration.

--- a/corianderrill/gateway/front.py
+++ b/corianderrill/gateway/front.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+import eventlet
 from eventlet import event
 
 from corianderrill import metrics
@@ -25,7 +26,10 @@
 # Retry times spread the return of callers that were refused together.
 RETRY_SOON_S = 0.05
 RETRY_SPREAD_S = 0.15
-RETRY_WITHOUT_CONFIGURATION_S = 0.5
+RETRY_WITHOUT_CONFIGURATION_S = 0.2
+# A host reads the configuration within this time of its start, if the store answers.
+START_S = 0.25
+START_STEP_S = 0.01
 # A host that is cut off tries so often whether it still is.
 TRY_EVERY_S = 0.4
 # A connection that was just set up took its caller two ways more.
@@ -60,6 +64,7 @@
     def __init__(self, shared: tools.Tools) -> None:
         self._tools = shared
         self._distribution = targets.Distribution(shared.rng)
+        self._started_at = shared.loop.now()
         self._tried_at = 0.0
         self.in_flight = 0
         self.is_leaving = False
@@ -86,7 +91,7 @@
     def _serve(self, environ: dict[str, object], received_at: float) -> Answer | None:
         headers = environ["headers_raw"]
         request_id = requests.find_header(headers, requests.REQUEST_ID) or ""
-        configuration = self._tools.view.configuration
+        configuration = self._wait_for_configuration(received_at)
         if configuration is None:
             return self._refuse(
                 request_id, "", 503, "no-configuration", RETRY_WITHOUT_CONFIGURATION_S
@@ -122,6 +127,14 @@
         )
         return self._forward(environ, inbound, route)
 
+    def _wait_for_configuration(self, now: float) -> routes.Configuration | None:
+        """Return the configuration; a host that just started is about to read it."""
+        view = self._tools.view
+        while view.configuration is None and now - self._started_at < START_S:
+            eventlet.sleep(START_STEP_S)
+            now = self._tools.loop.now()
+        return view.configuration
+
     def _forward(
         self,
         environ: dict[str, object],
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -2,7 +2,8 @@
 
 Latency is kept as a ratio to what the route expects, so that cheap and dear
 requests judge a replica alike. The median of the last ratios ignores a single
-pause; an attempt that is still waiting counts with its age.
+pause; an attempt that is still waiting counts with its age. A host that asks a
+replica seldom has fewer ratios to go by, and keeps what it saw for longer.
 """
 
 import collections
@@ -16,9 +17,15 @@
 InstanceId = NewType("InstanceId", str)
 
 RATIOS_KEPT = 5
-# A replica that gets no requests is slowly taken for normal again, and so tried.
+RATIO_AGE_S = 5.0
+# A replica that gets no requests is slowly taken for normal again, and so tried:
+# after so many of the intervals at which it was asked.
 SLOWNESS_HALF_LIFE_S = 1.5
-FAILURE_HALF_LIFE_S = 3.0
+SLOWNESS_HALF_LIFE_AT_MOST_S = 6.0
+HALF_LIFE_INTERVALS = 3.0
+FAILURE_HALF_LIFE_S = 5.0
+# What was seen counts as no more than so many ends, so that it is soon outweighed.
+ENDS_AT_MOST = 8.0
 # Counts as so many good replies, so that one failure among many weighs little.
 FAILURE_PRIOR = 1.0
 SHED_BACKOFF_BASE_S = 0.03
@@ -53,16 +60,25 @@
     born_ms: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """The ratio of one reply, and when it came."""
+
+    ratio: float
+    at: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Replica:
     """One start of one backend server. Times of the own clock, in seconds."""
 
     registration: Registration
     warm_at: float
-    ratios: collections.deque[float] = dataclasses.field(
-        default_factory=lambda: collections.deque((1.0,), RATIOS_KEPT)
+    samples: collections.deque[Sample] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=RATIOS_KEPT)
     )
     slowness: float = 1.0
+    half_life_s: float = SLOWNESS_HALF_LIFE_S
     seen_at: float = 0.0
     waiting: dict[object, float] = dataclasses.field(default_factory=dict)
     failures: float = 0.0
@@ -129,12 +145,25 @@
         self.is_elsewhere = True
 
     def _note_ratio(self, ratio: float, now: float) -> None:
-        self.ratios.append(ratio)
-        self.slowness = max(statistics.median_low(self.ratios), 0.5)
+        samples = self.samples
+        while samples and now - samples[0].at > RATIO_AGE_S:
+            samples.popleft()
+        samples.append(Sample(ratio, now))
+        middle = statistics.median_low(sample.ratio for sample in samples)
+        self.slowness = max(middle, 0.5)
+        self.half_life_s = self._compute_half_life()
         self.seen_at = now
 
+    def _compute_half_life(self) -> float:
+        if len(self.samples) < 2:
+            return SLOWNESS_HALF_LIFE_S
+        span_s = self.samples[-1].at - self.samples[0].at
+        half_life_s = HALF_LIFE_INTERVALS * span_s / (len(self.samples) - 1)
+        return min(max(half_life_s, SLOWNESS_HALF_LIFE_S), SLOWNESS_HALF_LIFE_AT_MOST_S)
+
     def _note_failure(self, failed: float, now: float) -> None:
         fading = self._read_fading(now)
+        fading = min(fading, (ENDS_AT_MOST - 1.0) / max(self.ends, 1.0))
         self.failures = fading * self.failures + failed
         self.ends = fading * self.ends + 1.0
         self.counted_at = now
@@ -154,7 +183,7 @@
         slowness = self.slowness
         if slowness > 1.2:
             idle_s = max(0.0, now - self.seen_at)
-            slowness = 1.0 + (slowness - 1.0) * 0.5 ** (idle_s / SLOWNESS_HALF_LIFE_S)
+            slowness = 1.0 + (slowness - 1.0) * 0.5 ** (idle_s / self.half_life_s)
         if now < self.warm_at:
             slowness *= WARMUP_SLOWNESS
         return slowness
--- a/tests/test_gateway_choice.py
+++ b/tests/test_gateway_choice.py
@@ -135,3 +135,16 @@
         silence.note_silence("zone-a", 1.1, 1.3)
     silence.note_answer("zone-a", 1.4)
     assert pick(three, 1.4, silence=silence) is three[0]
+
+
+def test_replica_that_is_seldom_asked_is_left_after_one_slow_reply(three):
+    answer(three[0], 1.0, 1.0)
+    answer(three[0], 8.0, 8.0)
+    assert pick(three, 8.1) is not three[0]
+
+
+def test_host_that_asks_seldom_keeps_what_it_saw_for_longer(three):
+    answer(three[0], 8.0, 1.0)
+    answer(three[0], 8.0, 3.0)
+    assert pick(three, 9.0) is not three[0]
+    assert pick(three, 25.0) is three[0]
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -128,6 +128,26 @@
     assert site.count_on_time() > 0.85
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_slow_replicas_are_left_also_where_each_is_asked_seldom(seed):
+    """A large site, seldom asked: a replica answers once in two seconds."""
+
+    def slow(site):
+        for server in site.servers[::7]:
+            server.slow = [(10.0, 18.0, 9.0)]
+
+    site = run_site(
+        seed=seed,
+        per_s=0.6,
+        until_s=40.0,
+        shards=36,
+        min_coverage=0.95,
+        fixed=168.0,
+        change=slow,
+    )
+    assert site.count_on_time() > 0.85
+
+
 def test_query_that_cannot_reach_its_coverage_fails_at_once():
     """Other shards run their parts, so nothing is promised."""
     site = virtual_servers.Site(min_coverage=1.0, max_attempts=1)
