--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -128,6 +128,26 @@
     assert site.count_on_time() > 0.85
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_slow_replicas_are_left_also_where_each_is_asked_seldom(seed):
+    """A large site, seldom asked: a replica answers once in two seconds."""
+
+    def slow(site):
+        for server in site.servers[::7]:
+            server.slow = [(10.0, 18.0, 9.0)]
+
+    site = run_site(
+        seed=seed,
+        per_s=0.6,
+        until_s=40.0,
+        shards=36,
+        min_coverage=0.95,
+        fixed=168.0,
+        change=slow,
+    )
+    assert site.count_on_time() > 0.85
+
+
 def test_query_that_cannot_reach_its_coverage_fails_at_once():
     """Other shards run their parts, so nothing is promised."""
     site = virtual_servers.Site(min_coverage=1.0, max_attempts=1)
@@ -159,6 +179,23 @@
     assert site.ended[0].conclusion is operation.Conclusion.BROKEN
 
 
+def test_hedge_is_not_spent_on_replicas_that_cannot_be_reached():
+    """A shard with one slow replica while the others are down."""
+    site = virtual_servers.Site(seed=1)
+    site.servers[0].slow = [(0.0, 30.0, 8.0)]
+    for server in site.servers[1:3]:
+        server.down = [(0.0, 30.0)]
+    site.run(20, 10.0)
+    wasted = [
+        attempt
+        for work in site.works
+        for attempt in work.slots[0].attempts
+        if (attempt.why, attempt.outcome) == (operation.HEDGE, "unsent")
+    ]
+    # Each replica is found to be down by one attempt now and then.
+    assert len(wasted) < 5
+
+
 def build_single(**fields):
     service = names.ServiceName("shard-0")
     return virtual_servers.Site(
