Refuse new connections once a host only finishes its work

Cause (read in the code): after the accept loop ended the socket still listened, so a caller that came waited for the end of the process. Ruled out: answers in flight, which the server waits for. The listener closes with the loop; the test fails without it. Idle connections follow the configured limit, where it is over 60 s.

--- a/corianderrill/gateway/callers.py
+++ b/corianderrill/gateway/callers.py
@@ -20,6 +20,11 @@
         environ["corianderrill.connection"] = self
         return environ
 
+    def _read_request_line(self) -> bytes:
+        """Read the next request line; idle connections follow the configuration."""
+        self.server.keepalive = self.server.app.read_idle_s()
+        return super()._read_request_line()
+
     def handle(self) -> None:
         """Serve the connection; a caller that resets it ends it quietly."""
         self.requests_served = 0
--- a/corianderrill/gateway/front.py
+++ b/corianderrill/gateway/front.py
@@ -32,6 +32,9 @@
 START_STEP_S = 0.01
 # A host that is cut off tries so often whether it still is.
 TRY_EVERY_S = 0.4
+# Idle connections outlive the time that callers reuse them for.
+IDLE_FACTOR = 1.5
+IDLE_AT_LEAST_S = 60.0
 # A connection that was just set up took its caller two ways more.
 FIRST_REQUEST_MARGIN_S = 0.007
 
@@ -88,6 +91,13 @@
         start_response(f"{answer.status} {reason}", headers)
         return [answer.body]
 
+    def read_idle_s(self) -> float:
+        """Return how long a connection without a request is kept, in seconds."""
+        configuration = self._tools.view.configuration
+        if configuration is None:
+            return IDLE_AT_LEAST_S
+        return max(IDLE_FACTOR * configuration.limits.idle_timeout_s, IDLE_AT_LEAST_S)
+
     def _serve(self, environ: dict[str, object], received_at: float) -> Answer | None:
         headers = environ["headers_raw"]
         request_id = requests.find_header(headers, requests.REQUEST_ID) or ""
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -39,8 +39,8 @@
 # Ended by itself before the platform does it.
 GRACE_MARGIN_S = 0.3
 LEAVE_TICK_S = 0.02
-# Idle connections outlive the time that callers reuse them for.
-IDLE_FACTOR = 1.5
+# For a caller in the middle of a request or an answer.
+CALLER_TIMEOUT_S = 60.0
 # A share of the time that a leaving replica is still there.
 SPARE_SHARE = 0.25
 COLLECT_AFTER_OBJECTS = 50_000
@@ -123,15 +123,10 @@
             max_size=CONNECTIONS_AT_MOST,
             protocol=callers.CallerProtocol,
             keepalive=True,
-            socket_timeout=self._read_idle_timeout(),
+            socket_timeout=CALLER_TIMEOUT_S,
             capitalize_response_headers=False,
         )
 
-    def _read_idle_timeout(self) -> float:
-        configuration = self._view.configuration
-        idle_s = 60.0 if configuration is None else configuration.limits.idle_timeout_s
-        return IDLE_FACTOR * max(idle_s, 60.0)
-
     # Background work.
 
     def _tidy(self) -> None:
@@ -197,6 +192,9 @@
         eventlet.sleep(ANNOUNCE_S)
         # Ends the accept loop; the server closes idle connections and waits.
         self._server.kill()
+        eventlet.sleep(0)
+        # Whoever comes now is refused at once instead of waiting for the end.
+        self._listener.close()
         grace_s = self._values.bounds.grace_s - GRACE_MARGIN_S
         while self._front.in_flight and time.monotonic() - began < grace_s:
             eventlet.sleep(LEAVE_TICK_S)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -167,6 +167,26 @@
     assert lines[-1] == {"event": "stopped", "ending": "finished", "cut_off": 0}
 
 
+def test_term_refuses_new_connections_while_it_finishes_what_is_in_flight(rig):
+    rig.desk.delay_s = 3.4
+    slow = eventlet.spawn(
+        rig.ask, "/desk/x", "slow", body=b"q", headers={"X-Deadline-Ms": "4500"}
+    )
+    rig.wait_until(lambda: "slow" in rig.desk.requests)
+    rig.terminate()
+
+    def is_refused():
+        try:
+            rig.ask("/sweep/x")
+        except ConnectionError:
+            return True
+        return False
+
+    rig.wait_until(is_refused)
+    assert not slow.dead
+    assert slow.wait()[0].status == 200
+
+
 def test_metrics_are_served(rig):
     rig.ask("/sweep/x")
     connection = gateways.connect(rig.metrics)
