Send on no request whose caller left in the middle of its body

Cause (read in the code): the server gives what it has when a caller closes early, and the gateway sent that on with a new length, a booking cut short. Ruled out: chunked bodies, which raise; malformed chunks now get 400. Such a connection is closed, with a log line. The version of the log is the one that the request was sent under.

--- a/corianderrill/gateway/decisions.py
+++ b/corianderrill/gateway/decisions.py
@@ -155,6 +155,14 @@
     traceback: str
 
 
+class BodyIncomplete(msgspec.Struct, tag="body-incomplete", tag_field="event"):
+    """A caller left before it had sent its whole request; nothing was sent on."""
+
+    request_id: str
+    route: str
+    error: str
+
+
 class Repeated(msgspec.Struct, tag="repeat", tag_field="event"):
     """A second attempt was sent, or the allowance had none left."""
 
@@ -181,6 +189,7 @@
     | RequestEnded
     | RequestRefused
     | Repeated
+    | BodyIncomplete
     | InternalError
 )
 
--- a/corianderrill/gateway/front.py
+++ b/corianderrill/gateway/front.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 import eventlet
-from eventlet import event
+from eventlet import event, wsgi
 
 from corianderrill import metrics
 from corianderrill.gateway import (
@@ -120,7 +120,13 @@
         header_bytes = sum(len(k) + len(v) + 4 for k, v in headers)
         if header_bytes > configuration.limits.header_bytes:
             return self._refuse(request_id, route.name, 431, "headers-too-large")
-        body = _read_body(environ, configuration.limits.body_bytes)
+        try:
+            body = _read_body(environ, configuration.limits.body_bytes)
+        except OSError as error:
+            self._note_broken_body(request_id, route.name, error)
+            return None
+        except wsgi.ChunkReadError:
+            return self._refuse(request_id, route.name, 400, "body-malformed")
         if body is None:
             return self._refuse(request_id, route.name, 413, "body-too-large")
         query = environ.get("QUERY_STRING")
@@ -137,6 +143,14 @@
         )
         return self._forward(environ, inbound, route)
 
+    def _note_broken_body(self, request_id: str, route: str, error: OSError) -> None:
+        self._tools.meter.count(metrics.GATEWAY_REFUSALS, "body-incomplete")
+        self._tools.log.record(
+            decisions.BodyIncomplete(
+                request_id=request_id, route=route, error=str(error)
+            )
+        )
+
     def _wait_for_configuration(self, now: float) -> routes.Configuration | None:
         """Return the configuration; a host that just started is about to read it."""
         view = self._tools.view
@@ -283,12 +297,11 @@
         routine = (
             conclusion is operation.Conclusion.ANSWERED and took_s < work.route.goal_s
         )
-        configuration = self._tools.view.configuration
         self._tools.log.record(
             decisions.RequestEnded(
                 request_id=work.request.id,
                 route=work.route.name,
-                version=configuration.version,
+                version=work.version,
                 status=0 if answer is None else answer.status,
                 outcome=conclusion.value,
                 took_ms=round(1000 * took_s, 1),
@@ -317,15 +330,21 @@
 
 
 def _read_body(environ: dict[str, object], at_most: int) -> bytes | None:
-    """Return the body of a request; nothing where it is longer than allowed."""
+    """Return the body of a request; nothing where it is longer than allowed.
+
+    Raises ConnectionError where the caller left before it had sent all of it.
+    """
     stream = environ["wsgi.input"]
     length = environ.get("CONTENT_LENGTH")
-    if length is not None:
-        return stream.read() if int(length) <= at_most else None
-    if not stream.chunked_input:
-        return b""
-    body = stream.read(at_most + 1)
-    return body if len(body) <= at_most else None
+    if length is None:
+        body = stream.read(at_most + 1) if stream.chunked_input else b""
+        return body if len(body) <= at_most else None
+    if int(length) > at_most:
+        return None
+    body = stream.read()
+    if len(body) < int(length):
+        raise ConnectionError("the caller left in the middle of its request")
+    return body
 
 
 def _tell_attempts(work: operation.Operation) -> list[decisions.AttemptTold]:
--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -85,13 +85,16 @@
         self._waits = shared.get_waits(route)
         self._needed = _count_needed(route.target, len(self.slots))
         self._timer = None
-        self._services: Mapping[names.ServiceName, routes.Service] = {}
+        configuration = shared.view.configuration
+        self.version = configuration.version
+        self._services: Mapping[names.ServiceName, routes.Service] = (
+            configuration.services
+        )
 
     def start(self) -> None:
         """Send the first attempts; the conclusion may follow at once."""
         now = self.loop.now()
         self._waits.refresh(now)
-        self._services = self.tools.view.configuration.services
         self.tools.allowance.earn(tuple(slot.service for slot in self.slots), now)
         for slot in self.slots:
             if self.conclusion is None:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -1,6 +1,7 @@
 """The whole path on the platform's stand-ins: one gateway as a process."""
 
 import json
+import socket
 
 import eventlet
 import pytest
@@ -43,6 +44,29 @@
     assert (reply.status, body) == (200, b"abcde")
 
 
+@pytest.mark.parametrize(
+    "framing", ["Content-Length: 10", "Transfer-Encoding: chunked"]
+)
+def test_request_whose_caller_leaves_in_its_body_is_not_sent_on(rig, framing):
+    address = rig.front.partition(":")
+    with socket.create_connection((address[0], int(address[2]))) as caller:
+        head = f"POST /desk/x HTTP/1.1\r\nHost: {gateways.HOST}\r\n{framing}\r\n"
+        caller.sendall(head.encode() + b"X-Request-Id: cut\r\n\r\n5\r\nabcde")
+    rig.ask("/desk/x", "after")
+    eventlet.sleep(0.3)
+    assert "cut" not in rig.desk.requests
+
+
+def test_chunks_that_are_malformed_are_refused(rig):
+    address = rig.front.partition(":")
+    with socket.create_connection((address[0], int(address[2]))) as caller:
+        head = f"POST /desk/x HTTP/1.1\r\nHost: {gateways.HOST}\r\n"
+        caller.sendall(head.encode() + b"X-Request-Id: bad\r\n")
+        caller.sendall(b"Transfer-Encoding: chunked\r\n\r\nnone\r\n")
+        assert caller.recv(12) == b"HTTP/1.1 400"
+    assert "bad" not in rig.desk.requests
+
+
 def test_path_without_a_route_is_not_found(rig):
     assert rig.ask("/other/x")[0].status == 404
 
