--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -31,6 +31,9 @@
         process.communicate()
 
 
+_picked: set[str] = set()
+
+
 def list_children(pid: int) -> list[int]:
     """Return the ids of the processes whose parent is `pid`."""
     return [
@@ -41,9 +44,16 @@
 
 
 def pick_address() -> str:
-    """Return an address of the loopback whose port was free a moment ago."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return "{}:{}".format(*server.getsockname())
+    """Return an address of the loopback whose port was free a moment ago.
+
+    The system may give a port again once it is free; here each is given once.
+    """
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = "{}:{}".format(*server.getsockname())
+        if address not in _picked:
+            _picked.add(address)
+            return address
 
 
 def find_interpreter() -> str:
