--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,22 +1,28 @@
-import contextlib
+import io
+import pathlib
 
 from tests.utils import processes
 
+EPHEMERAL = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 
-class Server:
-    def __init__(self, port):
-        self.port = port
 
-    def getsockname(self):
-        return "127.0.0.1", self.port
+class Ports:
+    def __init__(self, *ports):
+        self.ports = iter(ports)
 
+    def randrange(self, *_):
+        return next(self.ports)
 
-def test_port_that_the_system_gives_again_is_not_picked_twice(monkeypatch):
-    ports = iter([1, 1, 2])
 
-    def create_server(_address):
-        return contextlib.nullcontext(Server(next(ports)))
-
-    monkeypatch.setattr(processes.socket, "create_server", create_server)
+def test_port_is_not_picked_twice(monkeypatch):
+    monkeypatch.setattr(processes, "_rng", Ports(1, 1, 2))
+    monkeypatch.setattr(processes, "_picked", set())
+    server = io.BytesIO()
+    monkeypatch.setattr(processes.socket, "create_server", lambda _address: server)
     assert processes.pick_address() == "127.0.0.1:1"
     assert processes.pick_address() == "127.0.0.1:2"
+
+
+def test_port_is_none_that_an_outgoing_connection_may_take():
+    least = int(EPHEMERAL.read_text().split()[0])
+    assert processes.PORTS[1] <= least
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -26,12 +27,20 @@
     )
     try:
         yield process
+    except AssertionError as error:
+        process.kill()
+        error.add_note(f"output of the process: {process.communicate()}")
+        raise
     finally:
         process.kill()
         process.communicate()
 
 
-_picked: set[str] = set()
+PORTS = (15_000, 32_000)
+
+_picked: set[int] = set()
+# Runs beside each other must not try the same ports.
+_rng = random.SystemRandom()
 
 
 def list_children(pid: int) -> list[int]:
@@ -46,14 +55,16 @@
 def pick_address() -> str:
     """Return an address of the loopback whose port was free a moment ago.
 
-    The system may give a port again once it is free; here each is given once.
+    The port lies below those that the system gives to outgoing connections, which
+    might take it again before it is used; each is given once.
     """
     while True:
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            address = "{}:{}".format(*server.getsockname())
-        if address not in _picked:
-            _picked.add(address)
-            return address
+        port = _rng.randrange(*PORTS)
+        with contextlib.suppress(OSError):
+            socket.create_server(("127.0.0.1", port)).close()
+            if port not in _picked:
+                _picked.add(port)
+                return f"127.0.0.1:{port}"
 
 
 def find_interpreter() -> str:
