--- /dev/null
+++ b/benchmarks/gateways/checks.py
@@ -0,0 +1,359 @@
+"""Checks of what was seen against the promises; each returns what broke it.
+
+A host binds by a time bound only while nothing was wrong with it or with the store
+for `CONTACT_S`.
+"""
+
+import bisect
+import collections
+import dataclasses
+import itertools
+from collections.abc import Callable, Iterator
+
+from benchmarks.gateways import records, servers
+
+CONTACT_S = 2.0
+DRAIN_S = 2.0
+GRACE_S = 6.0
+APPLY_S = 2.0
+ROLLBACK_SLACK_S = 0.25
+ROLLBACK_DISTURBED_S = 2.0
+LOSS_SLACK_S = 0.2
+REPEAT_RATIO = 0.2
+REPEAT_WINDOW_S = 10.0
+MAX_ATTEMPTS = 2
+# So many requests may run on more replicas than allowed.
+OVER_ATTEMPTS = 3
+LATE_AFTER_S = 0.5
+GONE_AFTER_S = 0.5
+GONE_AT_MOST = 3
+RECOVERY_S = 5.0
+RECOVERED_SHARE = 0.95
+TOP = 5
+MIN_COVERAGE = 0.5
+REFUSALS = (408, 421, 429, 503)
+QUERY_SECONDS = 1.0
+BOOKING_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that was not kept, and what showed it."""
+
+    check: str
+    at_s: float
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """What the checks have to know of the run."""
+
+    shards: tuple[records.ServiceName, ...]
+    repeat_fixed: float
+
+
+class Evidence:
+    """What was seen, indexed for the checks."""
+
+    def __init__(self, history: records.History, setting: Setting) -> None:
+        self.history = history
+        self.setting = setting
+        self.by_id = {asked.id: asked for asked in history.asked}
+        self.runs = {a.signature: a for a in history.arrivals if a.signature}
+        self.by_request: dict[records.RequestId, list[records.Arrival]] = {}
+        for arrival in history.arrivals:
+            self.by_request.setdefault(arrival.id, []).append(arrival)
+
+    def is_in_touch(
+        self, host: records.HostName, since: float, until: float | None = None
+    ) -> bool:
+        """Tell whether nothing was wrong from `CONTACT_S` before a span to its end."""
+        end = since if until is None else until
+        return not any(
+            span.since <= end and span.until >= since - CONTACT_S
+            for span in self.history.disturbed
+            if span.host in (None, host)
+        )
+
+    def list_runs(self, request: records.RequestId) -> list[records.Arrival]:
+        """Return the runs of a request."""
+        return [a for a in self.by_request.get(request, []) if a.signature]
+
+
+Check = Callable[[Evidence], Iterator[Broken]]
+
+
+def check_answers(evidence: Evidence) -> Iterator[Broken]:
+    """A success is the whole reply of a server that ran this very request."""
+    for asked in evidence.history.asked:
+        if not asked.is_success:
+            continue
+        match asked.kind:
+            case records.Kind.QUERY:
+                fault = _find_query_fault(asked, evidence)
+            case records.Kind.BOOKING:
+                fault = _find_booking_fault(asked, evidence)
+        if fault is not None:
+            yield Broken("answers", asked.began_at, f"{asked.id}: {fault}")
+
+
+def _find_booking_fault(asked: records.Asked, evidence: Evidence) -> str | None:
+    if len(asked.signatures) != 1:
+        return "no signature"
+    run = evidence.runs.get(asked.signatures[0])
+    if run is None or run.id != asked.id or run.status != 200:
+        return "the signature is of no good reply to it"
+    return None if run.body == asked.body else "another body than the server's"
+
+
+def _find_query_fault(asked: records.Asked, evidence: Evidence) -> str | None:
+    runs = [evidence.runs.get(signature) for signature in asked.signatures]
+    if any(r is None or r.id != asked.id or r.status != 200 for r in runs):
+        return "a part is no good reply to it"
+    named = [run.service for run in runs]
+    shards = evidence.setting.shards
+    if len(set(named)) < len(named) or not set(named) <= set(shards):
+        return "parts of one shard twice, or of no shard"
+    if len(named) + asked.missing != len(shards):
+        return "parts and missing parts are not all shards"
+    if len(named) < MIN_COVERAGE * len(shards):
+        return "fewer parts than the route allows"
+    whole = b"".join(run.body for run in runs)
+    size = servers.RECORD_BYTES
+    pieces = [whole[at : at + size] for at in range(0, len(whole), size)]
+    greatest = sorted(pieces, reverse=True)[:TOP]
+    return None if asked.body == b"".join(greatest) else "not the greatest records"
+
+
+def check_at_most_once(evidence: Evidence) -> Iterator[Broken]:
+    """A booking runs once at most, and not at all where it was refused."""
+    for asked in evidence.history.asked:
+        if asked.kind is not records.Kind.BOOKING:
+            continue
+        runs = evidence.list_runs(asked.id)
+        if len(runs) > 1:
+            yield Broken("at-most-once", asked.began_at, f"{asked.id} ran twice")
+        if runs and asked.status in REFUSALS:
+            detail = f"{asked.id} ran and was refused with {asked.status}"
+            yield Broken("at-most-once", asked.began_at, detail)
+
+
+def check_repeats(evidence: Evidence) -> Iterator[Broken]:
+    """In each window, a service gets no more repeats than the platform allows."""
+    requests: dict[str, list[float]] = {name: [] for name in evidence.setting.shards}
+    bookings = []
+    for asked in evidence.history.asked:
+        if asked.kind is records.Kind.BOOKING:
+            bookings.append(asked.began_at)
+        else:
+            for times in requests.values():
+                times.append(asked.began_at)
+    for service, times in _list_repeats(evidence).items():
+        asked_at = sorted(requests.get(service, bookings))
+        for repeats, at in _find_windows(times):
+            window_s = REPEAT_WINDOW_S
+            most = max(
+                _count(asked_at, at - shift_s - window_s, at - shift_s)
+                for shift_s in (0.0, window_s, window_s / 2)
+            )
+            allowed = REPEAT_RATIO * most + evidence.setting.repeat_fixed
+            if repeats > allowed:
+                detail = (
+                    f"{service}: {repeats} repeats in a window, {allowed:.0f} allowed"
+                )
+                yield Broken("repeats", at, detail)
+
+
+def _list_repeats(evidence: Evidence) -> dict[str, list[float]]:
+    repeats: dict[str, list[float]] = collections.defaultdict(list)
+    for arrivals in evidence.by_request.values():
+        by_service = itertools.groupby(
+            sorted(arrivals, key=lambda a: (a.service, a.at)), lambda a: a.service
+        )
+        for service, group in by_service:
+            repeats[service].extend(a.at for a in list(group)[1:])
+    return repeats
+
+
+def _find_windows(times: list[float]) -> Iterator[tuple[int, float]]:
+    """Yield how many lie in the window that ends at each time."""
+    ordered = sorted(times)
+    for index, at in enumerate(ordered):
+        yield index + 1 - bisect.bisect_right(ordered, at - REPEAT_WINDOW_S), at
+
+
+def _count(ordered: list[float], since: float, until: float) -> int:
+    return bisect.bisect_right(ordered, until) - bisect.bisect_right(ordered, since)
+
+
+def check_attempts(evidence: Evidence) -> Iterator[Broken]:
+    """A request runs on no more replicas of a service than its route allows."""
+    over = []
+    for request, arrivals in evidence.by_request.items():
+        replicas = {(a.service, a.replica) for a in arrivals if a.signature}
+        counts = collections.Counter(service for service, _ in replicas)
+        if max(counts.values(), default=0) > MAX_ATTEMPTS:
+            over.append(request)
+    if len(over) > OVER_ATTEMPTS:
+        yield Broken("attempts", evidence.history.began_at, ", ".join(over))
+
+
+def check_routes(evidence: Evidence) -> Iterator[Broken]:
+    """Bookings go where a version sends them: in time, and never back."""
+    published = evidence.history.published
+    seen: dict[records.HostName, list[tuple[float, int]]] = {}
+    for arrival in sorted(evidence.runs.values(), key=lambda a: a.at):
+        asked = evidence.by_id[arrival.id]
+        if asked.kind is not records.Kind.BOOKING or asked.sent_at is None:
+            continue
+        versions = [p for p in published if p.bookings == arrival.service]
+        started = [p for p in versions if p.at <= arrival.at]
+        if not started:
+            yield Broken("routes", arrival.at, f"{arrival.id} at {arrival.service}")
+            continue
+        newest = started[-1]
+        yield from _check_age(evidence, asked, newest)
+        known = seen.setdefault(asked.host, [])
+        yield from _check_order(evidence, asked, newest.version, known)
+        known.append((arrival.at, newest.version))
+
+
+def _check_age(
+    evidence: Evidence, asked: records.Asked, used: records.Published
+) -> Iterator[Broken]:
+    later = [p for p in evidence.history.published if p.version > used.version]
+    if not later or asked.sent_at <= later[0].at + APPLY_S:
+        return
+    if evidence.is_in_touch(asked.host, later[0].at, asked.sent_at):
+        detail = f"{asked.id} handled by {used.version} after {later[0].version}"
+        yield Broken("routes", asked.sent_at, detail)
+
+
+def _check_order(
+    evidence: Evidence,
+    asked: records.Asked,
+    version: int,
+    known: list[tuple[float, int]],
+) -> Iterator[Broken]:
+    starts = [at for host, at in evidence.history.started if host == asked.host]
+    since = max((at for at in starts if at <= asked.sent_at), default=0.0)
+    calm = evidence.is_in_touch(asked.host, asked.sent_at)
+    slack_s = ROLLBACK_SLACK_S if calm else ROLLBACK_DISTURBED_S
+    for at, other in known:
+        if other > version and since <= at < asked.sent_at - slack_s:
+            detail = f"{asked.id} handled by {version}, {other} was seen before"
+            yield Broken("routes", asked.sent_at, detail)
+            return
+
+
+def check_draining(evidence: Evidence) -> Iterator[Broken]:
+    """A replica that leaves gets nothing new after its time."""
+    left = {entry.replica: entry.at for entry in evidence.history.left}
+    for arrival in evidence.history.arrivals:
+        left_at = left.get(arrival.replica)
+        if left_at is None or arrival.at <= left_at + DRAIN_S or arrival.was_elsewhere:
+            continue
+        asked = evidence.by_id[arrival.id]
+        sent_late = (asked.sent_at or 0.0) > left_at + DRAIN_S
+        if sent_late and evidence.is_in_touch(asked.host, left_at, arrival.at):
+            late_s = arrival.at - left_at
+            detail = f"{arrival.id} at {arrival.replica} after {late_s:.1f} s"
+            yield Broken("draining", arrival.at, detail)
+
+
+def check_losses(evidence: Evidence) -> Iterator[Broken]:
+    """A host that ends on SIGTERM loses no request that it has read."""
+    for told in evidence.history.told:
+        if told.status != 0 or told.ended_at - told.at > GRACE_S:
+            detail = f"{told.host}: status {told.status}"
+            detail += f" after {told.ended_at - told.at:.1f} s"
+            if evidence.is_in_touch(told.host, told.at - 0.01, told.at - 0.01):
+                yield Broken("losses", told.at, detail)
+        for asked in evidence.history.asked:
+            if _is_lost(asked, told, evidence):
+                yield Broken("losses", asked.began_at, f"{asked.id}: cut at the end")
+
+
+def _is_lost(asked: records.Asked, told: records.Told, evidence: Evidence) -> bool:
+    if asked.host != told.host or asked.ending is not records.Ending.CUT:
+        return False
+    if not told.at <= asked.sent_at <= told.ended_at:
+        return False
+    spans = [
+        span
+        for span in evidence.history.disturbed
+        if span.host in (None, told.host) and span.since != told.at
+    ]
+    if any(s.since <= asked.ended_at and s.until >= told.at - CONTACT_S for s in spans):
+        return False
+    was_passed_on = bool(evidence.by_request.get(asked.id))
+    return was_passed_on or asked.ended_at - asked.sent_at > LOSS_SLACK_S
+
+
+def check_deadlines(evidence: Evidence) -> Iterator[Broken]:
+    """A request has its end soon after the time that its route allows."""
+    for asked in evidence.history.asked:
+        if asked.sent_at is None or asked.ending is records.Ending.LEFT:
+            continue
+        is_query = asked.kind is records.Kind.QUERY
+        allowed_s = QUERY_SECONDS if is_query else BOOKING_SECONDS
+        took_s = asked.ended_at - asked.began_at
+        if took_s <= allowed_s + LATE_AFTER_S:
+            continue
+        if evidence.is_in_touch(asked.host, asked.began_at, asked.ended_at):
+            yield Broken("deadlines", asked.began_at, f"{asked.id}: {took_s:.2f} s")
+
+
+def check_leaving(evidence: Evidence) -> Iterator[Broken]:
+    """What a caller has left is soon asked of no server any more."""
+    late = [
+        arrival
+        for arrival in evidence.history.arrivals
+        if (asked := evidence.by_id[arrival.id]).ending is records.Ending.LEFT
+        and arrival.at > asked.ended_at + GONE_AFTER_S
+        and evidence.is_in_touch(asked.host, asked.began_at, arrival.at)
+    ]
+    if len(late) > GONE_AT_MOST:
+        yield Broken("leaving", late[0].at, f"{len(late)} arrivals after their caller")
+
+
+def check_recovery(evidence: Evidence) -> Iterator[Broken]:
+    """After the last fault nearly all is served again."""
+    since = evidence.history.faults_end_at + RECOVERY_S
+    late = [asked for asked in evidence.history.asked if asked.began_at > since]
+    served = sum(asked.is_success for asked in late)
+    if served < RECOVERED_SHARE * len(late):
+        detail = f"{served} of {len(late)} served after the faults"
+        yield Broken("recovery", since, detail)
+
+
+def check_processes(evidence: Evidence) -> Iterator[Broken]:
+    """No process ends by itself or reports an error of its own."""
+    for vanished in evidence.history.vanished:
+        yield Broken("processes", vanished.at, f"{vanished.host}: {vanished.detail}")
+
+
+CHECKS: tuple[Check, ...] = (
+    check_answers,
+    check_at_most_once,
+    check_repeats,
+    check_attempts,
+    check_routes,
+    check_draining,
+    check_losses,
+    check_deadlines,
+    check_leaving,
+    check_recovery,
+    check_processes,
+)
+
+
+def judge(history: records.History, setting: Setting) -> list[Broken]:
+    """Return all that broke a promise, with times since the begin of the run."""
+    evidence = Evidence(history, setting)
+    found = itertools.chain.from_iterable(check(evidence) for check in CHECKS)
+    return [
+        dataclasses.replace(broken, at_s=round(broken.at_s - history.began_at, 2))
+        for broken in found
+    ]
--- /dev/null
+++ b/benchmarks/gateways/hosts.py
@@ -0,0 +1,179 @@
+"""Gateways of a soak: one process each, with links to its callers and to the store."""
+
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import time
+
+import eventlet
+from eventlet.green import subprocess
+
+from benchmarks.gateways import callers, checks, links, records
+from corianderrill import names
+
+READY_WITHIN_S = 60.0
+STEP_S = 0.02
+# Below the ports that the system gives to outgoing connections.
+PORTS = (15_000, 32_000)
+ERROR_EVENT = b'"event":"internal-error"'
+
+_SETTINGS = """
+node_name = "{name}"
+zone = "{zone}"
+[listen]
+front = "{front}"
+ready_addr = "{ready}"
+[bounds]
+drain_ms = {drain_ms:.0f}
+grace_s = {grace_s}
+config_apply_ms = {apply_ms:.0f}
+retry_ratio = {ratio}
+retry_slack = {fixed}
+[platform]
+address = "{store}"
+"""
+
+
+def pick_address(rng: random.Random, taken: set[int]) -> names.Address:
+    """Return a free address of the loopback."""
+    while True:
+        port = rng.randrange(*PORTS)
+        if port in taken:
+            continue
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            # Another process has it; the next one is tried.
+            continue
+        taken.add(port)
+        return names.Address("127.0.0.1", port)
+
+
+class Host:
+    """One gateway process that is started, signalled and started again."""
+
+    def __init__(
+        self,
+        number: int,
+        directory: pathlib.Path,
+        history: records.History,
+        store_at: names.Address,
+        repeat_fixed: float,
+    ) -> None:
+        self.name = records.HostName(f"front-{number}")
+        self._history = history
+        rng = random.SystemRandom()
+        taken: set[int] = set()
+        front, ready, self._metrics = (pick_address(rng, taken) for _ in range(3))
+        self.callers_link = links.Link(front)
+        self.store_link = links.Link(store_at)
+        self.door = callers.Door(self.name, str(self.callers_link.address), str(ready))
+        self._file = directory / f"{self.name}.toml"
+        self._log = directory / f"{self.name}.log"
+        self._errors = directory / f"{self.name}.err"
+        self._text = _SETTINGS.format(
+            name=self.name,
+            zone=f"zone-{'ab'[number % 2]}",
+            front=front,
+            ready=ready,
+            drain_ms=1000 * checks.DRAIN_S,
+            grace_s=int(checks.GRACE_S),
+            apply_ms=1000 * checks.APPLY_S,
+            ratio=checks.REPEAT_RATIO,
+            fixed=int(repeat_fixed),
+            store=self.store_link.address,
+        )
+        self._process: subprocess.Popen | None = None
+        self._pauses = 0
+        self.is_up = False
+
+    def start(self) -> None:
+        """Start the process."""
+        self._file.write_text(self._text)
+        environment = {
+            **os.environ,
+            "CORIANDERRILL_SETTINGS": str(self._file),
+            "CORIANDERRILL_METRICS_PORT": str(self._metrics.port),
+        }
+        with self._log.open("ab") as log, self._errors.open("ab") as errors:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "corianderrill.gateway"],
+                env=environment,
+                stdout=log,
+                stderr=errors,
+            )
+        self._pauses = 0
+        self.is_up = True
+        self._history.started.append((self.name, time.monotonic()))
+
+    def wait_ready(self) -> None:
+        """Wait until the host is ready; a fault elsewhere may delay it."""
+        with eventlet.Timeout(READY_WITHIN_S, False):
+            while not callers.ask_ready(self.door.ready_address):
+                eventlet.sleep(STEP_S)
+
+    def pause(self) -> subprocess.Popen:
+        """Stop the process where it stands; return it."""
+        self._pauses += 1
+        self._process.send_signal(signal.SIGSTOP)
+        return self._process
+
+    def resume(self, paused: subprocess.Popen) -> None:
+        """Let the process go on once no other pause holds it."""
+        if paused is not self._process:
+            return
+        self._pauses -= 1
+        if self._pauses == 0:
+            self._process.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        self.is_up = False
+        self._process.kill()
+        self._process.wait()
+
+    def terminate(self) -> None:
+        """Ask the process to end, and note how it did."""
+        self.is_up = False
+        at = time.monotonic()
+        self._process.send_signal(signal.SIGTERM)
+        status = None
+        with eventlet.Timeout(checks.GRACE_S + 1.0, False):
+            status = self._process.wait()
+        ended_at = time.monotonic()
+        self._history.told.append(records.Told(self.name, at, ended_at, status))
+        if status is None:
+            self._process.kill()
+            self._process.wait()
+
+    def reload(self) -> None:
+        """Write the settings anew and tell the process."""
+        self._file.write_text(self._text)
+        self._process.send_signal(signal.SIGHUP)
+
+    def look(self) -> None:
+        """Note a process that ended by itself, and start it again."""
+        if self.is_up and self._process.poll() is not None:
+            self._note(f"ended by itself with {self._process.returncode}")
+            self.start()
+
+    def stop(self) -> None:
+        """End the process and note what it reported of itself."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+        self.callers_link.stop()
+        self.store_link.stop()
+        told = self._errors.read_text(errors="replace").strip()
+        if told:
+            self._note(f"wrote to its standard error: {told[-200:]}")
+        if ERROR_EVENT in self._log.read_bytes():
+            self._note(f"reported an error of its own, see {self._log.name}")
+
+    def _note(self, detail: str) -> None:
+        self._history.vanished.append(
+            records.Vanished(self.name, time.monotonic(), detail)
+        )
--- /dev/null
+++ b/benchmarks/gateways/records.py
@@ -0,0 +1,132 @@
+"""What callers, backend servers and the operator saw; times of the steady clock."""
+
+import dataclasses
+import enum
+from typing import NewType
+
+HostName = NewType("HostName", str)
+ServiceName = NewType("ServiceName", str)
+RequestId = NewType("RequestId", str)
+InstanceId = NewType("InstanceId", str)
+
+
+class Kind(enum.Enum):
+    """The requests that callers send."""
+
+    QUERY = "query"
+    BOOKING = "booking"
+
+
+class Ending(enum.Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    # The connection ended or was reset before a whole answer.
+    CUT = "cut"
+    NOT_CONNECTED = "not-connected"
+    GAVE_UP = "gave-up"
+    # The caller closed its connection early on purpose.
+    LEFT = "left"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Asked:
+    """One request as its caller saw it; `sent_at` is None where nothing was sent."""
+
+    id: RequestId
+    kind: Kind
+    host: HostName
+    began_at: float
+    sent_at: float | None = None
+    ended_at: float | None = None
+    ending: Ending | None = None
+    status: int = 0
+    signatures: tuple[str, ...] = ()
+    missing: int = 0
+    body: bytes = b""
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the caller got a 2xx."""
+        return self.ending is Ending.ANSWERED and 200 <= self.status < 300
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Arrival:
+    """A request that reached a backend server.
+
+    `signature` marks its run and is empty where the server refused it; `body` is what
+    a good reply holds, `status` what was answered.
+    """
+
+    id: RequestId
+    service: ServiceName
+    replica: InstanceId
+    at: float
+    signature: str = ""
+    status: int = 0
+    body: bytes = b""
+    was_elsewhere: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """A version of the configuration; bookings go to `bookings` from then on."""
+
+    version: int
+    at: float
+    bookings: ServiceName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Left:
+    """A replica that the store showed as leaving or gone."""
+
+    replica: InstanceId
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disturbed:
+    """A span in which something was wrong; without a host, at the store itself."""
+
+    since: float
+    until: float
+    host: HostName | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """SIGTERM was sent to a host, which ended at `ended_at` with `status`."""
+
+    host: HostName
+    at: float
+    ended_at: float
+    status: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vanished:
+    """A process ended by itself, or wrote of an error of its own."""
+
+    host: HostName
+    at: float
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """All that was seen in one run."""
+
+    began_at: float
+    asked: list[Asked] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    published: list[Published] = dataclasses.field(default_factory=list)
+    left: list[Left] = dataclasses.field(default_factory=list)
+    disturbed: list[Disturbed] = dataclasses.field(default_factory=list)
+    told: list[Told] = dataclasses.field(default_factory=list)
+    vanished: list[Vanished] = dataclasses.field(default_factory=list)
+    # Times at which a host lost its memory; what it knew before does not bind it.
+    started: list[tuple[HostName, float]] = dataclasses.field(default_factory=list)
+    faults_end_at: float = 0.0
+    ended_at: float = 0.0
--- /dev/null
+++ b/benchmarks/gateways/rig.py
@@ -0,0 +1,407 @@
+"""The rig of a soak: a store, backend servers, gateways, callers; and its faults."""
+
+import dataclasses
+import itertools
+import pathlib
+import random
+import time
+from collections.abc import Callable
+
+import eventlet
+
+from benchmarks.gateways import (
+    callers,
+    checks,
+    faults,
+    hosts,
+    links,
+    records,
+    servers,
+)
+from corianderrill.standins import platform
+
+ZONES = ("zone-a", "zone-b")
+REPLICAS_A_SHARD = 3
+REPLICAS_A_DESK = 2
+DESKS = tuple(records.ServiceName(f"desk-{number}") for number in range(4))
+MAX_CONNECTIONS = 64
+# How long the store keeps the entry of a server that no longer extends its lease.
+LEASE_S = 1.0
+# After the store was away, servers register again within this time.
+RETURN_S = 1.8
+# A server that drains stays a little longer than it has to.
+STAY_S = checks.DRAIN_S + 2.0
+LAG_STEP_S = 0.05
+# A driver that is held up for longer cannot tell what the hosts did.
+LAG_AT_MOST_S = 0.1
+WATCH_EVERY_S = 0.2
+GOAL_MS = 300
+FIXED_BASE = 40
+FIXED_A_HOST = 2
+
+Undo = Callable[[], None]
+
+_HOST_LINK_MODES = {
+    faults.Kind.CALLERS_DELAYED: links.Mode.DELAYED,
+    faults.Kind.CALLERS_RESET: links.Mode.RESET,
+    faults.Kind.STORE_DELAYED: links.Mode.DELAYED,
+    faults.Kind.STORE_RESET: links.Mode.RESET,
+    faults.Kind.STORE_REPLIES_LOST: links.Mode.BACK_LOST,
+    faults.Kind.STORE_SILENT: links.Mode.SILENT,
+}
+_REPLICA_LINK_MODES = {
+    faults.Kind.REPLICA_DELAYED: links.Mode.DELAYED,
+    faults.Kind.REPLICA_RESET: links.Mode.RESET,
+    faults.Kind.REPLICA_REPLIES_LOST: links.Mode.BACK_LOST,
+    faults.Kind.REPLICA_REQUESTS_LOST: links.Mode.FORTH_LOST,
+    faults.Kind.REPLICA_SILENT: links.Mode.SILENT,
+}
+_MOODS = {
+    faults.Kind.REPLICA_SLOW: servers.Mood.SLOW,
+    faults.Kind.REPLICA_REFUSING: servers.Mood.REFUSING,
+    faults.Kind.REPLICA_FAILING: servers.Mood.FAILING,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """How large a run is; `per_s` is the load over all callers."""
+
+    hosts: int = 4
+    shards: int = 6
+    callers: int = 16
+    per_s: float = 30.0
+
+
+class Rig:
+    """Everything that one run starts."""
+
+    def __init__(self, size: Size, directory: pathlib.Path, rng: random.Random) -> None:
+        self._size = size
+        self._rng = rng
+        self.history = records.History(time.monotonic())
+        shards = (f"shard-{number}" for number in range(size.shards))
+        self.setting = checks.Setting(
+            tuple(map(records.ServiceName, shards)),
+            FIXED_BASE + FIXED_A_HOST * size.hosts,
+        )
+        self.store = platform.PlatformStore()
+        self._version = 0
+        self._garbage = itertools.count(1)
+        self._busy = 0
+        self._servers = [
+            self._build_server(service, number)
+            for service, count in (
+                *((shard, REPLICAS_A_SHARD) for shard in self.setting.shards),
+                *((desk, REPLICAS_A_DESK) for desk in DESKS),
+            )
+            for number in range(count)
+        ]
+        self._hosts = [
+            hosts.Host(
+                number,
+                directory,
+                self.history,
+                self.store.address,
+                self.setting.repeat_fixed,
+            )
+            for number in range(size.hosts)
+        ]
+        self._balancer: callers.Balancer | None = None
+        self._callers: list[callers.Caller] = []
+        self.lag_s = 0.0
+
+    def _build_server(self, service: str, number: int) -> servers.Server:
+        zone = ZONES[number % len(ZONES)]
+        return servers.Server(service, zone, self.history, self._rng)
+
+    def run(self, seconds: float, plan: tuple[faults.Fault, ...]) -> None:
+        """Start everything, ask and disturb, and stop."""
+        self._publish()
+        for server in self._servers:
+            server.register(self.store)
+        for host in self._hosts:
+            host.start()
+        for host in self._hosts:
+            host.wait_ready()
+        began_at = self.history.began_at = time.monotonic()
+        background = [eventlet.spawn(self._watch), eventlet.spawn(self._measure_lag)]
+        asking = self._start_callers(began_at + seconds)
+        for fault in plan:
+            eventlet.sleep(max(0.0, began_at + fault.since_s - time.monotonic()))
+            eventlet.spawn(self._carry_out, fault, began_at)
+        self.history.faults_end_at = began_at + (1.0 - faults.CALM_AFTER) * seconds
+        for thread in asking:
+            thread.wait()
+        self.history.ended_at = time.monotonic()
+        for thread in background:
+            thread.kill()
+        self._balancer.stop()
+
+    def stop(self) -> None:
+        """End every process and listener of this run."""
+        for host in self._hosts:
+            host.stop()
+        for server in self._servers:
+            server.stop()
+        self.store.stop()
+
+    def _start_callers(self, until: float) -> list[eventlet.greenthread.GreenThread]:
+        doors = tuple(host.door for host in self._hosts)
+        self._balancer = callers.Balancer(doors)
+        self._callers = [
+            callers.Caller(self._balancer, self.history, self._rng)
+            for _ in range(self._size.callers)
+        ]
+        gap_s = self._size.callers / self._size.per_s
+        return [eventlet.spawn(caller.run, gap_s, until) for caller in self._callers]
+
+    def _watch(self) -> None:
+        while True:
+            eventlet.sleep(WATCH_EVERY_S)
+            for host in self._hosts:
+                host.look()
+
+    def _measure_lag(self) -> None:
+        """Note when this process was held up, since all it saw is late then."""
+        while True:
+            began = time.monotonic()
+            eventlet.sleep(LAG_STEP_S)
+            lag_s = time.monotonic() - began - LAG_STEP_S
+            self.lag_s = max(self.lag_s, lag_s)
+            if lag_s > LAG_AT_MOST_S:
+                self._disturb(began, None)
+
+    # Faults.
+
+    def _carry_out(self, fault: faults.Fault, began_at: float) -> None:
+        since = time.monotonic()
+        host = self._hosts[fault.pick % len(self._hosts)]
+        undo = self._begin(fault, host, since)
+        if undo is None:
+            return
+        eventlet.sleep(max(0.0, began_at + fault.until_s - time.monotonic()))
+        undo()
+
+    def _begin(
+        self, fault: faults.Fault, host: hosts.Host, since: float
+    ) -> Undo | None:
+        """Begin a fault; return what ends it, or nothing where it cannot happen now."""
+        kind = fault.kind
+        match kind:
+            case _ if kind in _HOST_LINK_MODES:
+                return self._begin_host_link(kind, host, since)
+            case _ if kind.name.startswith("HOST_"):
+                return self._begin_host(kind, host, since) if host.is_up else None
+            case _ if kind.name.startswith("STORE_"):
+                return self._begin_store(kind, since)
+            case faults.Kind.PUBLISHED:
+                return self._publish
+            case faults.Kind.CALLERS_LEAVE:
+                return self._begin_leaving()
+            case _:
+                return self._begin_replica(fault)
+
+    def _begin_host_link(
+        self, kind: faults.Kind, host: hosts.Host, since: float
+    ) -> Undo:
+        mode = _HOST_LINK_MODES[kind]
+        towards_store = kind.name.startswith("STORE_")
+        link = host.store_link if towards_store else host.callers_link
+        link.begin(mode)
+        span = self._disturb(since, host)
+
+        def undo() -> None:
+            link.end(mode)
+            self._end_disturbance(span)
+
+        return undo
+
+    def _begin_host(self, kind: faults.Kind, host: hosts.Host, since: float) -> Undo:
+        span = self._disturb(since, host)
+        match kind:
+            case faults.Kind.HOST_PAUSED:
+                paused = host.pause()
+
+                def undo() -> None:
+                    host.resume(paused)
+                    self._end_disturbance(span)
+
+            case faults.Kind.HOST_RELOADED:
+                # Planned work, no disturbance.
+                self.history.disturbed.remove(span)
+                host.reload()
+                undo = host.reload if host.is_up else _do_nothing
+            case _:
+                if kind is faults.Kind.HOST_KILLED:
+                    host.kill()
+                else:
+                    host.terminate()
+
+                def undo() -> None:
+                    host.start()
+                    host.wait_ready()
+                    self._end_disturbance(span)
+
+        return undo
+
+    def _begin_store(self, kind: faults.Kind, since: float) -> Undo:
+        match kind:
+            case faults.Kind.STORE_FORGETFUL:
+                self.store.forget_history()
+                return _do_nothing
+            case faults.Kind.STORE_GARBAGE:
+                number = next(self._garbage)
+                self.store.put(f"servers/garbage-{number}", b"{not a server")
+                self.store.put("op/other", b"\xff")
+                return _do_nothing
+        span = self._disturb(since, None)
+        self._busy += 1
+        self.store.is_down = True
+
+        def undo() -> None:
+            self._busy -= 1
+            self.store.is_down = self._busy > 0
+            if kind is faults.Kind.STORE_LAPSED:
+                self._lapse()
+            self._end_disturbance(span)
+
+        return undo
+
+    def _lapse(self) -> None:
+        """Lose the entries of all servers; those that live register again soon."""
+        for server in self._servers:
+            self.store.remove(f"servers/{server.id}")
+            delay_s = self._rng.random() * RETURN_S
+            eventlet.spawn_after(delay_s, self._register_again, server)
+
+    def _register_again(self, server: servers.Server) -> None:
+        if server in self._servers:
+            state = "draining" if server.is_leaving else "ready"
+            server.register(self.store, state)
+
+    def _begin_leaving(self) -> Undo:
+        for caller in self._callers:
+            caller.leaves_early = True
+
+        def undo() -> None:
+            for caller in self._callers:
+                caller.leaves_early = False
+
+        return undo
+
+    def _begin_replica(self, fault: faults.Fault) -> Undo:
+        staying = [server for server in self._servers if not server.is_leaving]
+        server = staying[fault.pick % len(staying)]
+        kind = fault.kind
+        match kind:
+            case faults.Kind.REPLICA_CRASHED:
+                return self._crash(server)
+            case faults.Kind.REPLICA_REPLACED:
+                eventlet.spawn(self._replace, server)
+                return _do_nothing
+        if kind in _MOODS:
+            mood = _MOODS[kind]
+            server.moods.append(mood)
+            return lambda: server.moods.remove(mood)
+        mode = _REPLICA_LINK_MODES[kind]
+        server.link.begin(mode)
+        return lambda: server.link.end(mode)
+
+    def _crash(self, server: servers.Server) -> Undo:
+        server.link.begin(links.Mode.RESET)
+        crashed = server.id
+
+        def lapse() -> None:
+            self.store.remove(f"servers/{crashed}")
+            self.history.left.append(records.Left(crashed, time.monotonic()))
+
+        eventlet.spawn_after(LEASE_S, lapse)
+
+        def undo() -> None:
+            server.start_again()
+            server.link.end(links.Mode.RESET)
+            self._register_again(server)
+
+        return undo
+
+    def _replace(self, server: servers.Server) -> None:
+        """Start a server in the place of another, which drains and leaves."""
+        server.is_leaving = True
+        number = ZONES.index(server.zone)
+        fresh = self._build_server(server.service, number)
+        self._servers.append(fresh)
+        fresh.register(self.store)
+        server.register(self.store, "draining")
+        self.history.left.append(records.Left(server.id, time.monotonic()))
+        eventlet.sleep(STAY_S)
+        self._servers.remove(server)
+        self.store.remove(f"servers/{server.id}")
+        eventlet.sleep(checks.DRAIN_S)
+        server.stop()
+
+    def _publish(self) -> None:
+        """Publish the next version, which sends bookings to the next service."""
+        self._version += 1
+        desk = DESKS[self._version % len(DESKS)]
+        self.store.put(
+            "op/config", build_configuration(self._version, self.setting, desk)
+        )
+        self.history.published.append(
+            records.Published(self._version, time.monotonic(), desk)
+        )
+
+    # What was disturbed.
+
+    def _disturb(self, since: float, host: hosts.Host | None) -> records.Disturbed:
+        """Note a disturbance without an end yet."""
+        span = records.Disturbed(
+            since, float("inf"), None if host is None else host.name
+        )
+        self.history.disturbed.append(span)
+        if host is None and since < time.monotonic() - LAG_AT_MOST_S:
+            self._end_disturbance(span)
+        return span
+
+    def _end_disturbance(self, span: records.Disturbed) -> None:
+        self.history.disturbed.remove(span)
+        self.history.disturbed.append(dataclasses.replace(span, until=time.monotonic()))
+
+
+def _do_nothing() -> None:
+    """End a fault that was over at once."""
+
+
+def build_configuration(
+    version: int, setting: checks.Setting, desk: records.ServiceName
+) -> dict[str, object]:
+    """Return the operator's document of a version."""
+    shared = {
+        "host": callers.HOST,
+        "priority": 1,
+        "max_attempts": checks.MAX_ATTEMPTS,
+        "latency_goal_ms": GOAL_MS,
+    }
+    query = {
+        **shared,
+        "name": "sweep",
+        "prefix": "/sweep/",
+        "type": "safe",
+        "timeout_ms": 1000 * checks.QUERY_SECONDS,
+        "gather": list(setting.shards),
+        "top_k": checks.TOP,
+        "min_coverage": checks.MIN_COVERAGE,
+    }
+    booking = {
+        **shared,
+        "name": "desk",
+        "prefix": "/desk/",
+        "type": "unsafe",
+        "timeout_ms": 1000 * checks.BOOKING_SECONDS,
+        "service": desk,
+    }
+    services = [
+        {"name": name, "max_conns": MAX_CONNECTIONS}
+        for name in (*setting.shards, *DESKS)
+    ]
+    return {"version": version, "routes": [query, booking], "services": services}
--- /dev/null
+++ b/benchmarks/gateways/servers.py
@@ -0,0 +1,95 @@
+"""Backend servers of a soak: they note each arrival and misbehave when told to."""
+
+import enum
+import hashlib
+import itertools
+import random
+import time
+from typing import Any
+
+import eventlet
+
+from benchmarks.gateways import links, records
+from corianderrill.standins import platform
+
+SERVICE_S = 0.012
+SLOW_S = 0.4
+REFUSED_SHARE = 0.5
+FAILED_SHARE = 0.5
+RECORDS_A_PART = 6
+RECORD_BYTES = 16
+_numbers = itertools.count(1)
+
+
+class Mood(enum.Enum):
+    """How a server misbehaves."""
+
+    SLOW = "slow"
+    REFUSING = "refusing"
+    FAILING = "failing"
+
+
+def build_part(service: str, request_id: str) -> bytes:
+    """Return the records of a shard for a request; every request has others."""
+    return b"".join(
+        hashlib.blake2b(
+            f"{service} {request_id} {index}".encode(), digest_size=RECORD_BYTES
+        ).digest()
+        for index in range(RECORDS_A_PART)
+    )
+
+
+class Server(platform.PlatformServer):
+    """One replica behind a link of its own, which is what it registers."""
+
+    def __init__(
+        self, service: str, zone: str, history: records.History, rng: random.Random
+    ) -> None:
+        super().__init__(service, zone)
+        self.link = links.Link(self.address)
+        self.address = self.link.address
+        self.moods: list[Mood] = []
+        self.is_leaving = False
+        self._history = history
+        self._rng = rng
+
+    def answer(self, environ: dict[str, Any]) -> platform.Answer:
+        """Run a request, refuse it or fail, and note it."""
+        arrival = records.Arrival(
+            id=records.RequestId(environ["HTTP_X_REQUEST_ID"]),
+            service=records.ServiceName(self.service),
+            replica=records.InstanceId(self.id),
+            at=time.monotonic(),
+        )
+        self._history.arrivals.append(arrival)
+        if environ.get("HTTP_X_EXPECT_INSTANCE") != self.id:
+            arrival.was_elsewhere = True
+            return "421 Misdirected Request", {"X-Instance-Id": self.id}, b""
+        if Mood.REFUSING in self.moods and self._rng.random() < REFUSED_SHARE:
+            return "503 Service Unavailable", {"X-Not-Executed": "1"}, b""
+        arrival.signature = f"{self.id}.{next(_numbers)}"
+        body = environ["wsgi.input"].read()
+        is_slow = Mood.SLOW in self.moods
+        eventlet.sleep(SLOW_S if is_slow else SERVICE_S * self._rng.uniform(0.5, 2))
+        return self._finish(arrival, body)
+
+    def _finish(self, arrival: records.Arrival, body: bytes) -> platform.Answer:
+        headers = {
+            "X-Request-Id": str(arrival.id),
+            "X-Server-Stamp": arrival.signature,
+        }
+        if Mood.FAILING in self.moods and self._rng.random() < FAILED_SHARE:
+            arrival.status = 500
+            return "500 Internal Server Error", headers, b"broken"
+        arrival.status = 200
+        arrival.body = body or build_part(self.service, arrival.id)
+        return "200 OK", headers, arrival.body
+
+    def start_again(self) -> None:
+        """Become another instance at the same address."""
+        self.id = f"{self.id}-{next(_numbers)}"
+
+    def stop(self) -> None:
+        """Listen no more, as after the end of its process."""
+        self.link.stop()
+        super().stop()
