Give the hosts of a soak ports of their own run

Two hosts of the run had one port, once for callers and once for readiness; listeners of eventlet share a port in silence. Ports are now given once in a run and differ between runs beside each other.

--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -76,9 +76,12 @@
 class Rig:
     """Everything that one run starts."""
 
-    def __init__(self, size: Size, directory: pathlib.Path, rng: random.Random) -> None:
+    def __init__(
+        self, size: Size, directory: pathlib.Path, rng: random.Random, run: int
+    ) -> None:
         self._size = size
         self._rng = rng
+        ports = hosts.Ports(run)
         self.history = records.History(time.monotonic())
         shards = (f"shard-{number}" for number in range(size.shards))
         self.setting = checks.Setting(
@@ -104,6 +107,7 @@
                 self.history,
                 self.store.address,
                 self.setting.repeat_fixed,
+                ports,
             )
             for number in range(size.hosts)
         ]
