Hedge the few parts that are missing while a second reply may still be on time

Change: 1.4 expected times before the goal, parts that are missing are hedged, where they are at most 0.15 of all; more are a sign of a slow link, not of slow replicas.

--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -33,6 +33,11 @@
 # A reply that lost against another is still read for this long.
 LINGER_S = 0.3
 HEDGE_RETRY_S = 0.006
+# A second attempt that is sent so many expected times before the goal may be on time.
+LAST_HEDGE_EXPECTED = 1.4
+LAST_HEDGE_STEP_S = 0.01
+# Where more of the parts are missing at that time, it is not for single replicas.
+LAST_HEDGE_SHARE = 0.15
 UNSENT_AT_MOST = 3
 HEDGE = "hedge"
 # An attempt that waits for so many hedge delays is a sign of silence.
@@ -84,6 +89,7 @@
         self._late_at = self._goal_at + LATE_GOALS * route.goal_s
         self._waits = shared.get_waits(route)
         self._needed = _count_needed(route.target, len(self.slots))
+        self._last_hedge_at = -math.inf
         self._timer = None
         configuration = shared.view.configuration
         self.version = configuration.version
@@ -95,6 +101,8 @@
         """Send the first attempts; the conclusion may follow at once."""
         now = self.loop.now()
         self._waits.refresh(now)
+        ahead_s = LAST_HEDGE_EXPECTED * self._waits.expected_s
+        self._last_hedge_at = self._goal_at - ahead_s
         self.tools.allowance.earn(tuple(slot.service for slot in self.slots), now)
         for slot in self.slots:
             if self.conclusion is None:
@@ -291,13 +299,21 @@
             return math.inf
         due = [
             slot.attempts[-1].started_at + self._waits.hedge_s
-            for slot in self.slots
-            if not slot.is_over and len(slot.list_asked()) < self.route.max_attempts
+            for slot in self._list_hedgeable()
         ]
         if not due:
             return math.inf
+        if now < self._goal_at:
+            due.append(max(self._last_hedge_at, now + LAST_HEDGE_STEP_S))
         return max(min(due), now + HEDGE_RETRY_S)
 
+    def _list_hedgeable(self) -> list[attempts.Slot]:
+        return [
+            slot
+            for slot in self.slots
+            if not slot.is_over and len(slot.list_asked()) < self.route.max_attempts
+        ]
+
     def _tick(self) -> None:
         if self.conclusion is not None:
             return
@@ -309,11 +325,12 @@
             self._arm(now)
 
     def _hedge(self, now: float) -> None:
-        for slot in self.slots:
-            if slot.is_over or len(slot.list_asked()) >= self.route.max_attempts:
-                continue
+        slots = self._list_hedgeable()
+        few = max(1.0, LAST_HEDGE_SHARE * len(self.slots))
+        is_last = self._last_hedge_at <= now < self._goal_at and len(slots) <= few
+        for slot in slots:
             waited_s = now - slot.attempts[-1].started_at
-            if waited_s >= self._waits.hedge_s:
+            if is_last or waited_s >= self._waits.hedge_s:
                 self._repeat(slot, HEDGE, waited_s, now)
 
     # The conclusion.
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -321,3 +321,30 @@
     site.loop.run_until(2.0)
     assert site.ended[0].conclusion is operation.Conclusion.TIMED_OUT
     assert site.ended[0].took_s <= site.route.timeout_s
+
+
+def build_site_with_spread_replies(silent):
+    """A host whose link is slow: one reply in seven takes four times the usual."""
+    site = virtual_servers.Site(
+        shards=36, mean_s=0.0225, goal_s=0.147, timeout_s=1.2, fixed=186.0
+    )
+    seen = site.tools.get_waits(site.route)
+    for latency_s in [0.03] * 170 + [0.12] * 30:
+        seen.record(latency_s)
+    for server in site.servers[: 3 * silent : 3]:
+        server.silent = [(0.0, 10.0)]
+    site.ask()
+    return site
+
+
+def test_few_parts_that_are_missing_are_asked_again_in_time_for_the_goal():
+    site = build_site_with_spread_replies(silent=2)
+    site.loop.run_until(2.0)
+    assert site.ended[0].conclusion is operation.Conclusion.ANSWERED
+    assert site.ended[0].took_s < site.route.goal_s
+
+
+def test_many_parts_that_are_missing_are_not_asked_again_before_their_time():
+    site = build_site_with_spread_replies(silent=12)
+    site.loop.run_until(0.1)
+    assert site.works[0].repeats == 0
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -120,9 +120,23 @@
         return end
 
 
+@dataclasses.dataclass(slots=True)
+class VirtualLink:
+    """The link of a host, which replies pass one after the other."""
+
+    reply_s: float = 0.0
+    _free_at: float = 0.0
+
+    def pass_on(self, at):
+        """Return when a reply that reaches the link at a time has passed."""
+        self._free_at = max(self._free_at, at) + self.reply_s
+        return self._free_at
+
+
 class VirtualPool:
-    def __init__(self, server, own_zone, mean_s):
+    def __init__(self, server, own_zone, mean_s, link):
         self.server = server
+        self.link = link
         self.mean_s = mean_s
         self.way_s = 0.0001 if server.zone == own_zone else OTHER_ZONE_S
 
@@ -160,7 +174,13 @@
         self._reply_later(left_s, sender, build_reply(sender, status))
 
     def _reply_later(self, left_s, sender, reply):
-        self.server.loop.call_later(left_s + self.way_s, sender.finish, reply)
+        self.server.loop.call_later(left_s + self.way_s, self._return, sender, reply)
+
+    def _return(self, sender, reply):
+        loop = self.server.loop
+        loop.call_later(
+            self.link.pass_on(loop.now()) - loop.now(), sender.finish, reply
+        )
 
 
 def build_refusal():
@@ -213,6 +233,7 @@
         min_coverage=0.89,
         fixed=58.0,
         target=None,
+        reply_s=0.0,
         **route,
     ):
         self.loop = VirtualLoop()
@@ -228,13 +249,14 @@
             builders.build_configuration(self.route, services=services), 1
         )
         pools = VirtualPools()
+        link = VirtualLink(reply_s)
         self.servers = []
         for index, (service, zone) in enumerate(itertools.product(services, ZONES)):
             address = names.Address("10.0.0.1", 8000 + index)
             server = VirtualServer(self.loop, self.rng, zone)
             server.pause_at_s = self.rng.random() * server.pause_every_s
             self.servers.append(server)
-            pools.by_address[address] = VirtualPool(server, ZONES[0], mean_s)
+            pools.by_address[address] = VirtualPool(server, ZONES[0], mean_s, link)
             registration = builders.build_registration(
                 f"i-{index}", service, zone, address=address
             )
