--- a/corianderrill/gateway/allowance.py
+++ b/corianderrill/gateway/allowance.py
@@ -46,7 +46,6 @@
     share: float
     part: float
     started_at: float
-    spent: int = 0
     denied: int = 0
     _slices: collections.deque[_Slice] = dataclasses.field(
         default_factory=collections.deque
@@ -76,7 +75,6 @@
             return False
         self._repeats[service] += 1
         self._slices[-1].repeats[service] += 1
-        self.spent += 1
         return True
 
     def _advance(self, now: float) -> None:
--- a/corianderrill/gateway/callers.py
+++ b/corianderrill/gateway/callers.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 
+import eventlet
 from eventlet import hubs, wsgi
 
 from corianderrill.gateway import decisions
@@ -25,6 +26,18 @@
         self.server.keepalive = self.server.app.read_idle_s()
         return super()._read_request_line()
 
+    def parse_request(self) -> bool:
+        """Read the headers; a caller that takes too long for them is left."""
+        is_whole = None
+        with eventlet.Timeout(self.server.app.read_header_s(), False):
+            is_whole = super().parse_request()
+        if is_whole:
+            return True
+        self.close_connection = True
+        reason = "headers-too-slow" if is_whole is None else "headers-malformed"
+        self.server.log.warn(reason)
+        return False
+
     def handle(self) -> None:
         """Serve the connection; a caller that resets it ends it quietly."""
         self.requests_served = 0
@@ -55,6 +68,10 @@
         if "Traceback" in message:
             self.error(message)
 
+    def warn(self, reason: str) -> None:
+        """Record a caller that was left before its request was read."""
+        self._log.record(decisions.CallerLeft(reason))
+
     def error(self, message: str, *_: object) -> None:
         """Record a failure."""
         self._log.record(decisions.InternalError("server", message[-2000:]))
--- a/corianderrill/gateway/decisions.py
+++ b/corianderrill/gateway/decisions.py
@@ -155,6 +155,12 @@
     traceback: str
 
 
+class CallerLeft(msgspec.Struct, tag="caller-left", tag_field="event"):
+    """The connection of a caller was closed before its request was read."""
+
+    reason: str
+
+
 class BodyIncomplete(msgspec.Struct, tag="body-incomplete", tag_field="event"):
     """A caller left before it had sent its whole request; nothing was sent on."""
 
@@ -190,6 +196,7 @@
     | RequestRefused
     | Repeated
     | BodyIncomplete
+    | CallerLeft
     | InternalError
 )
 
--- a/corianderrill/gateway/follower.py
+++ b/corianderrill/gateway/follower.py
@@ -136,7 +136,7 @@
             self._skip(item, str(error))
             return
         before = self.view.configuration
-        change = self.view.apply_configuration(configuration, item.revision)
+        change = self.view.apply_configuration(configuration)
         self.log.record(
             decisions.ConfigurationSeen(
                 version=configuration.version,
--- a/corianderrill/gateway/front.py
+++ b/corianderrill/gateway/front.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import itertools
-import time
 from collections.abc import Callable, Iterable
 
 import eventlet
@@ -76,7 +75,7 @@
         self, environ: dict[str, object], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request."""
-        received_at = time.monotonic()
+        received_at = self._tools.loop.now()
         self.in_flight += 1
         try:
             answer = self._serve(environ, received_at)
@@ -91,6 +90,12 @@
         start_response(f"{answer.status} {reason}", headers)
         return [answer.body]
 
+    def read_header_s(self) -> float:
+        """Return how long a caller may take to send its headers, in seconds."""
+        configuration = self._tools.view.configuration
+        limits = routes.Limits() if configuration is None else configuration.limits
+        return limits.header_timeout_s
+
     def read_idle_s(self) -> float:
         """Return how long a connection without a request is kept, in seconds."""
         configuration = self._tools.view.configuration
@@ -194,13 +199,11 @@
         self, route: routes.Route, services: tuple[str, ...], now: float
     ) -> str | None:
         """Return why a request is known not to be servable, if it is."""
-        least = 1.0
-        if isinstance(route.target, routes.Gather):
-            least = max(1.0, route.target.min_coverage * len(services) - 1e-9)
-        known = [service for service in services if self._list_replicas(service, now)]
-        if len(known) < least:
+        least = route.count_needed(len(services))
+        asked = [self._list_replicas(service, now) for service in services]
+        if sum(map(bool, asked)) < least:
             return "no-replicas"
-        if sum(self._is_in_reach(service, now) for service in known) >= least:
+        if sum(self._is_in_reach(servers, now) for servers in asked) >= least:
             return None
         if now - self._tried_at >= TRY_EVERY_S:
             # Shows when the zones are back.
@@ -212,11 +215,10 @@
         view = self._tools.view
         return view.list_ready(service) or view.list_spare(service, now)
 
-    def _is_in_reach(self, service: str, now: float) -> bool:
+    def _is_in_reach(self, servers: list[replicas.Replica], now: float) -> bool:
         zones = self._tools.zones
         return any(
-            not zones.is_suspect(replica.registration.zone, now)
-            for replica in self._list_replicas(service, now)
+            not zones.is_suspect(replica.registration.zone, now) for replica in servers
         )
 
     # Answers.
@@ -230,11 +232,12 @@
             case operation.Conclusion.FAILED:
                 return _copy_reply(work.slots[0].failure)
             case operation.Conclusion.NOT_RUN:
-                return Answer(503, [self._draw_retry(RETRY_SOON_S)], b"")
+                retry = self._draw_retry(RETRY_SOON_S)
+                return Answer(503, [_echo(work.request.id), retry], b"")
             case operation.Conclusion.BROKEN:
-                return Answer(502, [], b"")
+                return Answer(502, [_echo(work.request.id)], b"")
             case operation.Conclusion.TIMED_OUT:
-                return Answer(504, [], b"")
+                return Answer(504, [_echo(work.request.id)], b"")
             case operation.Conclusion.ABANDONED:
                 return None
 
@@ -260,7 +263,7 @@
         reason: str,
         retry_after_s: float | None = None,
     ) -> Answer:
-        headers = [(requests.REQUEST_ID, request_id)] if request_id else []
+        headers = [_echo(request_id)] if request_id else []
         if retry_after_s is not None:
             headers.append(self._draw_retry(retry_after_s))
         configuration = self._tools.view.configuration
@@ -290,7 +293,7 @@
         conclusion: operation.Conclusion,
         answer: Answer | None,
     ) -> None:
-        now = time.monotonic()
+        now = self._tools.loop.now()
         took_s = now - work.request.received_at
         missing = sum(slot.reply is None for slot in work.slots)
         self._count(work.route.name, conclusion, took_s, missing)
@@ -325,6 +328,10 @@
             meter.count(metrics.GATEWAY_MISSING_PARTS, by=missing)
 
 
+def _echo(request_id: str) -> tuple[str, str]:
+    return (requests.REQUEST_ID, request_id)
+
+
 def _copy_reply(reply: answers.Reply) -> Answer:
     return Answer(reply.status, requests.list_reply_headers(reply), reply.body)
 
--- a/corianderrill/gateway/operation.py
+++ b/corianderrill/gateway/operation.py
@@ -88,7 +88,7 @@
         self._goal_at = started_at + max(route.goal_s - margin_s, 0.0)
         self._late_at = self._goal_at + LATE_GOALS * route.goal_s
         self._waits = shared.get_waits(route)
-        self._needed = _count_needed(route.target, len(self.slots))
+        self._needed = route.count_needed(len(self.slots))
         self._last_hedge_at = -math.inf
         self._timer = None
         configuration = shared.view.configuration
@@ -426,12 +426,3 @@
             ratio = (now - attempt.sent_at) / self._waits.expected_s
             attempt.replica.overdue(attempt, ratio, now)
             self._cancel(attempt, "given-up")
-
-
-def _count_needed(target: routes.Target, total: int) -> int:
-    match target:
-        case routes.Gather(min_coverage=least):
-            # A share like 0.9 of 10 must not become 10 by rounding.
-            return max(1, math.ceil(least * total - 1e-9))
-        case _:
-            return 1
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -21,6 +21,9 @@
 # A replica that gets no requests is slowly taken for normal again, and so tried:
 # after so many of the intervals at which it was asked.
 SLOWNESS_HALF_LIFE_S = 1.5
+SLOWNESS_LEAST = 0.5
+# Less is kept as it is: only who is clearly slow is tried again with time.
+SLOWNESS_NOTABLE = 1.2
 SLOWNESS_HALF_LIFE_AT_MOST_S = 6.0
 HALF_LIFE_INTERVALS = 3.0
 FAILURE_HALF_LIFE_S = 5.0
@@ -28,6 +31,8 @@
 ENDS_AT_MOST = 8.0
 # Counts as so many good replies, so that one failure among many weighs little.
 FAILURE_PRIOR = 1.0
+# So few, faded with time, count as none.
+FAILURES_FORGOTTEN = 0.05
 SHED_BACKOFF_BASE_S = 0.03
 SHED_BACKOFF_MAX_S = 0.5
 UNREACHABLE_BACKOFF_BASE_S = 0.25
@@ -150,7 +155,7 @@
             samples.popleft()
         samples.append(Sample(ratio, now))
         middle = statistics.median_low(sample.ratio for sample in samples)
-        self.slowness = max(middle, 0.5)
+        self.slowness = max(middle, SLOWNESS_LEAST)
         self.half_life_s = self._compute_half_life()
         self.seen_at = now
 
@@ -173,7 +178,7 @@
 
     def read_failure_share(self, now: float) -> float:
         """Return the recent share of failures, 0 to 1, fading with time."""
-        if self.failures < 0.05:
+        if self.failures < FAILURES_FORGOTTEN:
             return 0.0
         fading = self._read_fading(now)
         return fading * self.failures / (fading * self.ends + FAILURE_PRIOR)
@@ -181,7 +186,7 @@
     def read_slowness(self, now: float) -> float:
         """Return how many times slower than expected the replica is."""
         slowness = self.slowness
-        if slowness > 1.2:
+        if slowness > SLOWNESS_NOTABLE:
             idle_s = max(0.0, now - self.seen_at)
             slowness = 1.0 + (slowness - 1.0) * 0.5 ** (idle_s / self.half_life_s)
         if now < self.warm_at:
--- a/corianderrill/gateway/routes.py
+++ b/corianderrill/gateway/routes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Mapping
 from typing import NewType
 
@@ -10,6 +11,8 @@
 RouteName = NewType("RouteName", str)
 Version = NewType("Version", int)
 
+ROUNDING = 1e-9
+
 
 class Repeatability(enum.Enum):
     """Whether a request may run more than once."""
@@ -73,6 +76,15 @@
     priority: int
     max_attempts: int
 
+    def count_needed(self, parts: int) -> int:
+        """Return how many of the parts of an answer make it a success."""
+        match self.target:
+            case Gather(min_coverage=least):
+                # A share like 0.9 of 10 must not become 10 by rounding.
+                return max(1, math.ceil(least * parts - ROUNDING))
+            case _:
+                return 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -44,7 +44,6 @@
 
     spare_s: float
     configuration: routes.Configuration | None = None
-    configuration_revision: StoreRevision = StoreRevision(0)
     trust_removals_at: float = 0.0
     _entries: dict[replicas.InstanceId, _Entry] = dataclasses.field(
         default_factory=dict
@@ -53,15 +52,12 @@
         default_factory=dict
     )
 
-    def apply_configuration(
-        self, configuration: routes.Configuration, revision: StoreRevision
-    ) -> Change:
+    def apply_configuration(self, configuration: routes.Configuration) -> Change:
         """Take in a configuration unless it is older than the one in force."""
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return Change.STALE
         self.configuration = configuration
-        self.configuration_revision = revision
         return Change.APPLIED
 
     def note_store_returned(self, now: float) -> None:
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -6,8 +6,8 @@
 
 def test_configuration_never_goes_back():
     belief = builders.build_view()
-    belief.apply_configuration(builders.build_configuration(version=7), 20)
-    change = belief.apply_configuration(builders.build_configuration(version=5), 30)
+    belief.apply_configuration(builders.build_configuration(version=7))
+    change = belief.apply_configuration(builders.build_configuration(version=5))
     assert change is view.Change.STALE
     assert belief.configuration.version == 7
 
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -246,7 +246,7 @@
         self.services = services
         belief = builders.build_view()
         belief.apply_configuration(
-            builders.build_configuration(self.route, services=services), 1
+            builders.build_configuration(self.route, services=services)
         )
         pools = VirtualPools()
         link = VirtualLink(reply_s)
