--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -43,6 +43,7 @@
 CALLER_TIMEOUT_S = 60.0
 # A share of the time that a leaving replica is still there.
 SPARE_SHARE = 0.25
+LAPSED_SPARE_SHARE = 0.85
 COLLECT_AFTER_OBJECTS = 50_000
 
 Headers = Mapping[str, str]
@@ -59,7 +60,7 @@
         self.log = decisions.LogbookLog("gateway", self._handler)
         self._handler.push_application()
         bounds = values.bounds
-        self._view = view.View(spare_s=SPARE_SHARE * bounds.drain_s)
+        self._view = view.View(spare_s=0.0, lapsed_spare_s=0.0)
         # Each host draws its own; nothing here depends on the sequence.
         rng = random.Random()
         self._pools = pools.Pools(allowance.estimate_hosts(bounds.repeat_fixed))
@@ -81,13 +82,18 @@
         self._follower = follower.Follower(
             self._client, self._view, self._pools, self.log, rng
         )
-        self._follow_within(bounds)
+        self._take_bounds(bounds)
         self._ended = event.Event()
         self._signalled = False
 
-    def _follow_within(self, bounds: settings.Bounds) -> None:
+    def _take_bounds(self, bounds: settings.Bounds) -> None:
         hosts = allowance.estimate_hosts(bounds.repeat_fixed)
         self._follower.follow_within(min(bounds.apply_s, bounds.drain_s), hosts)
+        spare_s = SPARE_SHARE * bounds.drain_s
+        # Counted from the removal, of which this host may hear that much later.
+        lapsed_s = LAPSED_SPARE_SHARE * bounds.drain_s - self._follower.gather_s
+        self._view.spare_s = spare_s
+        self._view.lapsed_spare_s = max(spare_s, lapsed_s)
 
     def run(self) -> status.ExitStatus:
         """Serve until SIGTERM; return how it ended."""
@@ -170,8 +176,7 @@
             self._client = store.StoreClient(values.store_at)
             self._follower.client = self._client
         bounds = values.bounds
-        self._view.spare_s = SPARE_SHARE * bounds.drain_s
-        self._follow_within(bounds)
+        self._take_bounds(bounds)
         fresh = allowance.build_allowance(
             bounds.repeat_ratio, bounds.repeat_fixed, time.monotonic()
         )
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -39,10 +39,12 @@
 class View:
     """What one host believes. Times of the own clock, in seconds.
 
-    `spare_s` is how long a replica that is leaving may still be asked.
+    `spare_s` is how long a replica that said it is leaving may still be asked,
+    `lapsed_spare_s` one whose entry went without a word: it may be back soon.
     """
 
     spare_s: float
+    lapsed_spare_s: float
     configuration: routes.Configuration | None = None
     trust_removals_at: float = 0.0
     _entries: dict[replicas.InstanceId, _Entry] = dataclasses.field(
@@ -115,7 +117,7 @@
             entry.spare_until = self.trust_removals_at
             return Change.SPARE
         if entry.spare_until is None:
-            entry.spare_until = now + self.spare_s
+            entry.spare_until = now + self.lapsed_spare_s
         return Change.APPLIED
 
     def advance(self, now: float) -> list[replicas.InstanceId]:
