--- a/corianderrill/gateway/choice.py
+++ b/corianderrill/gateway/choice.py
@@ -13,7 +13,7 @@
 SUSPECT_ZONE_S = 1.0
 # At this share of failures a reply counts twice its time; the excess grows with the
 # square, since repeats are few and a rare failure is no reason to leave the zone.
-FAILURE_SHARE_TOLERATED = 0.1
+FAILURE_SHARE_TOLERATED = 0.13
 JITTER = 0.05
 
 
