--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,8 @@
 # Promises whose check needs no bound of time, so that a busy machine changes nothing.
 TIMELESS = ("answers", "at-most-once", "repeats", "attempts", "processes")
 # 1: an ordinary run. 4: two hosts were given one port, and answered for each other. 6:
-# callers sent on connections that had been closed. 18: a harmed link brought bookings late.
+# callers sent on connections that had been closed. 18: a harmed link brought bookings
+# late.
 SEEDS = (1, 4, 6, 18)
 
 
