--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -99,7 +99,7 @@
 
     def start(self) -> None:
         """Start the process."""
-        self._file.write_text(self._text)
+        self._write_settings()
         environment = {
             **os.environ,
             "CORIANDERRILL_SETTINGS": str(self._file),
@@ -157,9 +157,15 @@
 
     def reload(self) -> None:
         """Write the settings anew and tell the process."""
-        self._file.write_text(self._text)
+        self._write_settings()
         self._process.send_signal(signal.SIGHUP)
 
+    def _write_settings(self) -> None:
+        """Replace the file at once: a process that starts may be reading it."""
+        fresh = self._file.with_suffix(".new")
+        fresh.write_text(self._text)
+        fresh.replace(self._file)
+
     def look(self) -> None:
         """Note a process that ended by itself, and start it again."""
         if self.is_up and self._process.poll() is not None:
