Reuse what the soak wrote again, and make its fault table plain

Read anew: timeouts of requests stood in callers and checks, processes were run beside benchmarks.processes.Child, kinds of faults were told apart by the begin of their names, and a disturbance ended itself in one special case. Each has one place now; facts in tuples have types. No check, bound or assertion changed.

--- a/benchmarks/gateways/callers.py
+++ b/benchmarks/gateways/callers.py
@@ -11,8 +11,6 @@
 
 from benchmarks.gateways import records
 
-QUERY_TIMEOUT_S = 1.0
-BOOKING_TIMEOUT_S = 2.0
 GIVE_UP_AFTER_S = 1.5
 READY_EVERY_S = 1.0
 READY_WITHIN_S = 0.5
@@ -109,7 +107,7 @@
         connection = self._kept.pop(door.host, None)
         if connection is None or _was_closed(connection):
             connection = http.client.HTTPConnection(door.address)
-        connection.timeout = _read_timeout(kind) + GIVE_UP_AFTER_S
+        connection.timeout = kind.timeout_s + GIVE_UP_AFTER_S
         leaves = self.leaves_early and self._rng.random() < LEAVE_SHARE
         try:
             reply = self._exchange(asked, connection, leaves)
@@ -137,7 +135,7 @@
         headers = {
             "Host": HOST,
             "X-Request-Id": asked.id,
-            "X-Deadline-Ms": str(int(1000 * _read_timeout(asked.kind))),
+            "X-Deadline-Ms": str(int(1000 * asked.kind.timeout_s)),
         }
         if connection.sock is None:
             connection.connect()
@@ -166,14 +164,6 @@
     return util.wait.wait_for_read(connection.sock, timeout=0.0)
 
 
-def _read_timeout(kind: records.Kind) -> float:
-    match kind:
-        case records.Kind.QUERY:
-            return QUERY_TIMEOUT_S
-        case records.Kind.BOOKING:
-            return BOOKING_TIMEOUT_S
-
-
 def _read_signatures(
     kind: records.Kind, reply: http.client.HTTPResponse
 ) -> tuple[str, ...]:
--- a/benchmarks/gateways/checks.py
+++ b/benchmarks/gateways/checks.py
@@ -32,8 +32,6 @@
 TOP = 5
 MIN_COVERAGE = 0.5
 REFUSALS = (408, 421, 429, 503)
-QUERY_SECONDS = 1.0
-BOOKING_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,10 +205,18 @@
         yield Broken("attempts", evidence.history.began_at, ", ".join(over))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Seen:
+    """A host handled a request by a version."""
+
+    at: float
+    version: int
+
+
 def check_routes(evidence: Evidence) -> Iterator[Broken]:
     """Bookings go where a version sends them: in time, and never back."""
     published = evidence.history.published
-    seen: dict[records.HostName, list[tuple[float, int]]] = {}
+    seen: dict[records.HostName, list[_Seen]] = {}
     for arrival in sorted(evidence.runs.values(), key=lambda a: a.at):
         asked = evidence.by_id[arrival.id]
         if asked.kind is not records.Kind.BOOKING or asked.sent_at is None:
@@ -224,7 +230,7 @@
         yield from _check_age(evidence, asked, newest)
         known = seen.setdefault(asked.host, [])
         yield from _check_order(evidence, asked, newest.version, known)
-        known.append((arrival.at, newest.version))
+        known.append(_Seen(arrival.at, newest.version))
 
 
 def _check_age(
@@ -242,15 +248,15 @@
     evidence: Evidence,
     asked: records.Asked,
     version: int,
-    known: list[tuple[float, int]],
+    known: list[_Seen],
 ) -> Iterator[Broken]:
-    starts = [at for host, at in evidence.history.started if host == asked.host]
+    starts = [s.at for s in evidence.history.started if s.host == asked.host]
     since = max((at for at in starts if at <= asked.sent_at), default=0.0)
     calm = evidence.is_in_touch(asked.host, asked.sent_at)
     slack_s = ROLLBACK_SLACK_S if calm else ROLLBACK_DISTURBED_S
-    for at, other in known:
-        if other > version and since <= at < asked.sent_at - slack_s:
-            detail = f"{asked.id} handled by {version}, {other} was seen before"
+    for other in known:
+        if other.version > version and since <= other.at < asked.sent_at - slack_s:
+            detail = f"{asked.id} handled by {version} after {other.version}"
             yield Broken("routes", asked.sent_at, detail)
             return
 
@@ -304,10 +310,8 @@
     for asked in evidence.history.asked:
         if asked.sent_at is None or asked.ending is records.Ending.LEFT:
             continue
-        is_query = asked.kind is records.Kind.QUERY
-        allowed_s = QUERY_SECONDS if is_query else BOOKING_SECONDS
         took_s = asked.ended_at - asked.began_at
-        if took_s <= allowed_s + LATE_AFTER_S:
+        if took_s <= asked.kind.timeout_s + LATE_AFTER_S:
             continue
         if evidence.is_in_touch(asked.host, asked.began_at, asked.ended_at):
             yield Broken("deadlines", asked.began_at, f"{asked.id}: {took_s:.2f} s")
--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -4,12 +4,11 @@
 import pathlib
 import signal
 import socket
-import sys
 import time
 
 import eventlet
-from eventlet.green import subprocess
 
+from benchmarks import processes
 from benchmarks.gateways import callers, checks, links, records
 from corianderrill import names
 
@@ -93,7 +92,7 @@
             fixed=int(repeat_fixed),
             store=self.store_link.address,
         )
-        self._process: subprocess.Popen | None = None
+        self._child: processes.Child | None = None
         self._pauses = 0
         self.is_up = False
 
@@ -105,16 +104,21 @@
             "CORIANDERRILL_SETTINGS": str(self._file),
             "CORIANDERRILL_METRICS_PORT": str(self._metrics.port),
         }
-        with self._log.open("ab") as log, self._errors.open("ab") as errors:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", "corianderrill.gateway"],
-                env=environment,
-                stdout=log,
-                stderr=errors,
-            )
+        self._child = processes.Child(
+            self.name,
+            ["corianderrill.gateway"],
+            self._errors,
+            environment,
+            self._log,
+        )
         self._pauses = 0
         self.is_up = True
-        self._history.started.append((self.name, time.monotonic()))
+        self._history.started.append(records.Started(self.name, time.monotonic()))
+
+    def start_whole(self) -> None:
+        """Start the process and wait until it is ready."""
+        self.start()
+        self.wait_ready()
 
     def wait_ready(self) -> None:
         """Wait until the host is ready; a fault elsewhere may delay it."""
@@ -122,43 +126,38 @@
             while not callers.ask_ready(self.door.ready_address):
                 eventlet.sleep(STEP_S)
 
-    def pause(self) -> subprocess.Popen:
+    def pause(self) -> processes.Child:
         """Stop the process where it stands; return it."""
         self._pauses += 1
-        self._process.send_signal(signal.SIGSTOP)
-        return self._process
+        self._child.send_signal(signal.SIGSTOP)
+        return self._child
 
-    def resume(self, paused: subprocess.Popen) -> None:
+    def resume(self, paused: processes.Child) -> None:
         """Let the process go on once no other pause holds it."""
-        if paused is not self._process:
+        if paused is not self._child:
             return
         self._pauses -= 1
         if self._pauses == 0:
-            self._process.send_signal(signal.SIGCONT)
+            self._child.send_signal(signal.SIGCONT)
 
     def kill(self) -> None:
         """End the process without notice."""
         self.is_up = False
-        self._process.kill()
-        self._process.wait()
+        self._child.kill()
 
     def terminate(self, at: float) -> None:
         """Ask the process to end, and note how it did."""
         self.is_up = False
-        self._process.send_signal(signal.SIGTERM)
-        status = None
-        with eventlet.Timeout(checks.GRACE_S + 1.0, False):
-            status = self._process.wait()
+        self._child.send_signal(signal.SIGTERM)
+        status = self._child.wait(checks.GRACE_S + 1.0)
         ended_at = time.monotonic()
         self._history.told.append(records.Told(self.name, at, ended_at, status))
-        if status is None:
-            self._process.kill()
-            self._process.wait()
+        self._child.kill()
 
     def reload(self) -> None:
         """Write the settings anew and tell the process."""
         self._write_settings()
-        self._process.send_signal(signal.SIGHUP)
+        self._child.send_signal(signal.SIGHUP)
 
     def _write_settings(self) -> None:
         """Replace the file at once: a process that starts may be reading it."""
@@ -168,15 +167,14 @@
 
     def look(self) -> None:
         """Note a process that ended by itself, and start it again."""
-        if self.is_up and self._process.poll() is not None:
-            self._note(f"ended by itself with {self._process.returncode}")
+        if self.is_up and not self._child.is_running:
+            self._note(f"ended by itself with {self._child.wait(0.0)}")
             self.start()
 
     def stop(self) -> None:
         """End the process and note what it reported of itself."""
-        if self._process is not None and self._process.poll() is None:
-            self._process.kill()
-            self._process.wait()
+        if self._child is not None:
+            self._child.kill()
         self.callers_link.stop()
         self.store_link.stop()
         told = self._errors.read_text(errors="replace").strip()
--- a/benchmarks/gateways/records.py
+++ b/benchmarks/gateways/records.py
@@ -9,6 +9,9 @@
 RequestId = NewType("RequestId", str)
 InstanceId = NewType("InstanceId", str)
 
+QUERY_TIMEOUT_S = 1.0
+BOOKING_TIMEOUT_S = 2.0
+
 
 class Kind(enum.Enum):
     """The requests that callers send."""
@@ -16,6 +19,15 @@
     QUERY = "query"
     BOOKING = "booking"
 
+    @property
+    def timeout_s(self) -> float:
+        """How long the route of these requests keeps a caller waiting."""
+        match self:
+            case Kind.QUERY:
+                return QUERY_TIMEOUT_S
+            case Kind.BOOKING:
+                return BOOKING_TIMEOUT_S
+
 
 class Ending(enum.Enum):
     """How a request ended for its caller."""
@@ -114,6 +126,14 @@
     status: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """A host began anew; what it knew before does not bind it."""
+
+    host: HostName
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Vanished:
     """A process ended by itself, or wrote of an error of its own."""
@@ -136,7 +156,6 @@
     held: list[Held] = dataclasses.field(default_factory=list)
     told: list[Told] = dataclasses.field(default_factory=list)
     vanished: list[Vanished] = dataclasses.field(default_factory=list)
-    # Times at which a host lost its memory; what it knew before does not bind it.
-    started: list[tuple[HostName, float]] = dataclasses.field(default_factory=list)
+    started: list[Started] = dataclasses.field(default_factory=list)
     faults_end_at: float = 0.0
     ended_at: float = 0.0
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -1,6 +1,7 @@
 """The rig of a soak: a store, backend servers, gateways, callers; and its faults."""
 
 import dataclasses
+import functools
 import itertools
 import pathlib
 import random
@@ -43,9 +44,11 @@
 
 Undo = Callable[[], None]
 
-_HOST_LINK_MODES = {
+_CALLERS_LINK_MODES = {
     faults.Kind.CALLERS_DELAYED: links.Mode.DELAYED,
     faults.Kind.CALLERS_RESET: links.Mode.RESET,
+}
+_STORE_LINK_MODES = {
     faults.Kind.STORE_DELAYED: links.Mode.DELAYED,
     faults.Kind.STORE_RESET: links.Mode.RESET,
     faults.Kind.STORE_REPLIES_LOST: links.Mode.BACK_LOST,
@@ -181,7 +184,8 @@
             lag_s = time.monotonic() - began - LAG_STEP_S
             self.lag_s = max(self.lag_s, lag_s)
             if lag_s > LAG_AT_MOST_S:
-                self._disturb(began, None)
+                span = records.Disturbed(began, time.monotonic())
+                self.history.disturbed.append(span)
 
     # Faults.
 
@@ -200,11 +204,25 @@
         """Begin a fault; return what ends it, or nothing where it cannot happen now."""
         kind = fault.kind
         match kind:
-            case _ if kind in _HOST_LINK_MODES:
-                return self._begin_host_link(kind, host, since)
-            case _ if kind.name.startswith("HOST_"):
+            case _ if kind in _CALLERS_LINK_MODES:
+                mode = _CALLERS_LINK_MODES[kind]
+                return self._begin_link(host.callers_link, mode, host, since)
+            case _ if kind in _STORE_LINK_MODES:
+                mode = _STORE_LINK_MODES[kind]
+                return self._begin_link(host.store_link, mode, host, since)
+            case (
+                faults.Kind.HOST_PAUSED
+                | faults.Kind.HOST_KILLED
+                | faults.Kind.HOST_TERMINATED
+                | faults.Kind.HOST_RELOADED
+            ):
                 return self._begin_host(kind, host, since) if host.is_up else None
-            case _ if kind.name.startswith("STORE_"):
+            case (
+                faults.Kind.STORE_BUSY
+                | faults.Kind.STORE_LAPSED
+                | faults.Kind.STORE_FORGETFUL
+                | faults.Kind.STORE_GARBAGE
+            ):
                 return self._begin_store(kind, since)
             case faults.Kind.PUBLISHED:
                 return self._publish
@@ -215,12 +233,9 @@
             case _:
                 return self._begin_replica(fault)
 
-    def _begin_host_link(
-        self, kind: faults.Kind, host: hosts.Host, since: float
+    def _begin_link(
+        self, link: links.Link, mode: links.Mode, host: hosts.Host, since: float
     ) -> Undo:
-        mode = _HOST_LINK_MODES[kind]
-        towards_store = kind.name.startswith("STORE_")
-        link = host.store_link if towards_store else host.callers_link
         link.begin(mode)
         span = self._disturb(since, host)
 
@@ -231,30 +246,24 @@
         return undo
 
     def _begin_host(self, kind: faults.Kind, host: hosts.Host, since: float) -> Undo:
+        if kind is faults.Kind.HOST_RELOADED:
+            # Planned work, no disturbance.
+            host.reload()
+            return lambda: host.reload() if host.is_up else None
         span = self._disturb(since, host)
         match kind:
             case faults.Kind.HOST_PAUSED:
-                paused = host.pause()
-
-                def undo() -> None:
-                    host.resume(paused)
-                    self._end_disturbance(span)
-
-            case faults.Kind.HOST_RELOADED:
-                # Planned work, no disturbance.
-                self.history.disturbed.remove(span)
-                host.reload()
-                undo = host.reload if host.is_up else _do_nothing
+                end = functools.partial(host.resume, host.pause())
+            case faults.Kind.HOST_KILLED:
+                host.kill()
+                end = host.start_whole
             case _:
-                if kind is faults.Kind.HOST_KILLED:
-                    host.kill()
-                else:
-                    host.terminate(since)
+                host.terminate(since)
+                end = host.start_whole
 
-                def undo() -> None:
-                    host.start()
-                    host.wait_ready()
-                    self._end_disturbance(span)
+        def undo() -> None:
+            end()
+            self._end_disturbance(span)
 
         return undo
 
@@ -380,8 +389,6 @@
             since, float("inf"), None if host is None else host.name
         )
         self.history.disturbed.append(span)
-        if host is None and since < time.monotonic() - LAG_AT_MOST_S:
-            self._end_disturbance(span)
         return span
 
     def _end_disturbance(self, span: records.Disturbed) -> None:
@@ -419,7 +426,7 @@
         "name": "sweep",
         "prefix": "/sweep/",
         "type": "safe",
-        "timeout_ms": 1000 * checks.QUERY_SECONDS,
+        "timeout_ms": 1000 * records.QUERY_TIMEOUT_S,
         "gather": list(setting.shards),
         "top_k": checks.TOP,
         "min_coverage": checks.MIN_COVERAGE,
@@ -429,7 +436,7 @@
         "name": "desk",
         "prefix": "/desk/",
         "type": "unsafe",
-        "timeout_ms": 1000 * checks.BOOKING_SECONDS,
+        "timeout_ms": 1000 * records.BOOKING_TIMEOUT_S,
         "service": desk,
     }
     services = [
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,5 +1,6 @@
 """Child processes of a measure: started, read, counted and ended by process id."""
 
+import contextlib
 import os
 import pathlib
 import selectors
@@ -7,7 +8,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 BANNER_WITHIN_S = 30.0
 END_WITHIN_S = 5.0
@@ -19,16 +20,31 @@
 
 
 class Child:
-    """One process that a measure started."""
-
-    def __init__(self, name: str, arguments: Sequence[str], log: pathlib.Path):
+    """One process that a measure started.
+
+    Its standard error goes to `log`, its output to a file or, for `read_line`, a pipe.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        log: pathlib.Path,
+        environment: Mapping[str, str] | None = None,
+        output: pathlib.Path | None = None,
+    ):
         self.name = name
         self._log = log
-        with log.open("ab") as stream:
+        with contextlib.ExitStack() as files:
+            errors = files.enter_context(log.open("ab"))
+            told = subprocess.PIPE
+            if output is not None:
+                told = files.enter_context(output.open("ab"))
             self._process = subprocess.Popen(
                 [sys.executable, "-m", *arguments],
-                stdout=subprocess.PIPE,
-                stderr=stream,
+                env=environment,
+                stdout=told,
+                stderr=errors,
             )
 
     @property
@@ -81,7 +97,8 @@
         """End the process without notice."""
         self.send_signal(signal.SIGKILL)
         self._process.wait()
-        self._process.stdout.close()
+        if self._process.stdout is not None:
+            self._process.stdout.close()
 
 
 def end_all(children: Sequence[Child]) -> None:
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -22,6 +22,11 @@
     return site
 
 
+def run_large_site(**fields):
+    """Run a host of a large site: many shards, each seldom asked."""
+    return run_site(shards=36, min_coverage=0.95, fixed=168.0, **fields)
+
+
 def count_extra(site):
     first = site.asked * len(site.services)
     arrivals = sum(server.arrivals for server in site.servers)
@@ -119,13 +124,10 @@
         for server in site.servers:
             server.pause_s = 0.1
 
-    site = run_site(
+    site = run_large_site(
         seed=seed,
         per_s=0.6,
         until_s=60.0,
-        shards=36,
-        min_coverage=0.95,
-        fixed=168.0,
         change=pause,
     )
     assert site.count_on_time() > 0.85
@@ -167,13 +169,10 @@
         for server in site.servers[::7]:
             server.slow = [(10.0, 18.0, 9.0)]
 
-    site = run_site(
+    site = run_large_site(
         seed=seed,
         per_s=0.6,
         until_s=40.0,
-        shards=36,
-        min_coverage=0.95,
-        fixed=168.0,
         change=slow,
     )
     assert site.count_on_time() > 0.85
@@ -300,13 +299,10 @@
         for server in site.servers[::2]:
             server.shed_share = 0.45
 
-    site = run_site(
+    site = run_large_site(
         seed=seed,
         per_s=1.0,
         until_s=30.0,
-        shards=36,
-        min_coverage=0.95,
-        fixed=168.0,
         change=shed,
     )
     assert site.count_on_time() > 0.7
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -97,7 +97,7 @@
 
 
 def answer_long_after_the_timeout(history):
-    history.asked[0].ended_at = AT + 1 + checks.QUERY_SECONDS + 1
+    history.asked[0].ended_at = AT + 1 + records.QUERY_TIMEOUT_S + 1
 
 
 def work_on_for_callers_that_left(history):
--- a/tests/utils/soak_builders.py
+++ b/tests/utils/soak_builders.py
@@ -13,7 +13,7 @@
     """Return a history with one query and one booking, both as they should be."""
     history = records.History(BEGAN_AT)
     history.published.append(records.Published(1, BEGAN_AT - 10, DESKS[0]))
-    history.started.append((HOST, BEGAN_AT - 10))
+    history.started.append(records.Started(HOST, BEGAN_AT - 10))
     history.faults_end_at = BEGAN_AT + 10
     history.ended_at = BEGAN_AT + 30
     add_query(history)
