--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -11,6 +11,7 @@
 from benchmarks import processes
 from benchmarks.gateways import callers, checks, links, records
 from corianderrill import names
+from corianderrill.standins import platform
 
 READY_WITHIN_S = 60.0
 STEP_S = 0.02
@@ -20,22 +21,6 @@
 PORT_BLOCKS = (PORTS[1] - PORTS[0]) // PORTS_A_RUN
 ERROR_EVENT = b'"event":"internal-error"'
 
-_SETTINGS = """
-node_name = "{name}"
-zone = "{zone}"
-[listen]
-front = "{front}"
-ready_addr = "{ready}"
-[bounds]
-drain_ms = {drain_ms:.0f}
-grace_s = {grace_s}
-config_apply_ms = {apply_ms:.0f}
-retry_ratio = {ratio}
-retry_slack = {fixed}
-[platform]
-address = "{store}"
-"""
-
 
 class Ports:
     """Free ports of the loopback, each given once; runs beside each other differ.
@@ -80,18 +65,18 @@
         self._file = directory / f"{self.name}.toml"
         self._log = directory / f"{self.name}.log"
         self._errors = directory / f"{self.name}.err"
-        self._text = _SETTINGS.format(
+        self._text = platform.HostFile(
             name=self.name,
             zone=f"zone-{'ab'[number % 2]}",
-            front=front,
-            ready=ready,
-            drain_ms=1000 * checks.DRAIN_S,
+            front=str(front),
+            ready=str(ready),
+            store=str(self.store_link.address),
+            drain_ms=int(1000 * checks.DRAIN_S),
             grace_s=int(checks.GRACE_S),
-            apply_ms=1000 * checks.APPLY_S,
-            ratio=checks.REPEAT_RATIO,
-            fixed=int(repeat_fixed),
-            store=self.store_link.address,
-        )
+            apply_ms=int(1000 * checks.APPLY_S),
+            repeat_ratio=checks.REPEAT_RATIO,
+            repeat_fixed=int(repeat_fixed),
+        ).render()
         self._child: processes.Child | None = None
         self._pauses = 0
         self.is_up = False
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -24,6 +24,42 @@
 
 Answer = tuple[str, dict[str, str], bytes]
 
+_SETTINGS = """
+node_name = "{name}"
+zone = "{zone}"
+[listen]
+front = "{front}"
+ready_addr = "{ready}"
+[bounds]
+drain_ms = {drain_ms}
+grace_s = {grace_s}
+config_apply_ms = {apply_ms}
+retry_ratio = {repeat_ratio}
+retry_slack = {repeat_fixed}
+[platform]
+address = "{store}"
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostFile:
+    """The settings file that the platform writes for one host."""
+
+    name: str
+    zone: str
+    front: str
+    ready: str
+    store: str
+    drain_ms: int
+    grace_s: int
+    apply_ms: int
+    repeat_ratio: float
+    repeat_fixed: int
+
+    def render(self) -> str:
+        """Return the text of the file."""
+        return _SETTINGS.format(**dataclasses.asdict(self))
+
 
 class Listening:
     """A WSGI server on the loopback address."""
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -17,21 +17,6 @@
 STEP_S = 0.02
 HOST = "leno.example"
 SHARDS = ("one", "two", "three")
-SETTINGS = """
-node_name = "front-1"
-zone = "zone-a"
-[listen]
-front = "{front}"
-ready_addr = "{ready}"
-[bounds]
-drain_ms = 3000
-grace_s = 6
-config_apply_ms = 3000
-retry_ratio = 0.2
-retry_slack = 58
-[platform]
-address = "{store}"
-"""
 
 
 def build_configuration(version=1, **routes):
@@ -75,11 +60,19 @@
             processes.pick_address() for _ in range(3)
         )
         self.file = pathlib.Path(directory) / "boot.toml"
-        self.file.write_text(
-            SETTINGS.format(
-                front=self.front, ready=self.ready, store=self.store.address
-            )
+        settings = platform.HostFile(
+            name="front-1",
+            zone="zone-a",
+            front=self.front,
+            ready=self.ready,
+            store=str(self.store.address),
+            drain_ms=3000,
+            grace_s=6,
+            apply_ms=3000,
+            repeat_ratio=0.2,
+            repeat_fixed=58,
         )
+        self.file.write_text(settings.render())
         self.process = None
 
     def publish(self, **changes):
