Pick free ports in one place for rig, soak and tests

Read anew: three pickers stood beside each other. That of the soak went by its seed, so that two clones that test at once would have picked the same ports, and listeners share a port in silence. The checks of the picker are the same, on its new place.

--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -3,47 +3,20 @@
 import os
 import pathlib
 import signal
-import socket
 import time
 
 import eventlet
 
-from benchmarks import processes
+from benchmarks import ports, processes
 from benchmarks.gateways import callers, checks, links, records
 from corianderrill import names
 from corianderrill.standins import platform
 
 READY_WITHIN_S = 60.0
 STEP_S = 0.02
-# Below the ports that the system gives to outgoing connections.
-PORTS = (15_000, 32_000)
-PORTS_A_RUN = 1_000
-PORT_BLOCKS = (PORTS[1] - PORTS[0]) // PORTS_A_RUN
 ERROR_EVENT = b'"event":"internal-error"'
 
 
-class Ports:
-    """Free ports of the loopback, each given once; runs beside each other differ.
-
-    Listeners may share a port, so that two that were given one would go unnoticed.
-    """
-
-    def __init__(self, run: int) -> None:
-        first = PORTS[0] + (run % PORT_BLOCKS) * PORTS_A_RUN
-        self._left = iter(range(first, first + PORTS_A_RUN))
-
-    def pick(self) -> names.Address:
-        """Return an address whose port is free."""
-        for port in self._left:
-            try:
-                socket.create_server(("127.0.0.1", port)).close()
-            except OSError:
-                # Another process has it; the next one is tried.
-                continue
-            return names.Address("127.0.0.1", port)
-        raise RuntimeError(f"no port of {PORTS_A_RUN} is left; run with fewer hosts")
-
-
 class Host:
     """One gateway process that is started, signalled and started again."""
 
@@ -54,11 +27,10 @@
         history: records.History,
         store_at: names.Address,
         repeat_fixed: float,
-        ports: Ports,
     ) -> None:
         self.name = records.HostName(f"front-{number}")
         self._history = history
-        front, ready, self._metrics = (ports.pick() for _ in range(3))
+        front, ready, self._metrics = ports.find_free_addresses(3)
         self.callers_link = links.Link(front)
         self.store_link = links.Link(store_at)
         self.door = callers.Door(self.name, str(self.callers_link.address), str(ready))
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -86,12 +86,9 @@
 class Rig:
     """Everything that one run starts."""
 
-    def __init__(
-        self, size: Size, directory: pathlib.Path, rng: random.Random, run: int
-    ) -> None:
+    def __init__(self, size: Size, directory: pathlib.Path, rng: random.Random) -> None:
         self._size = size
         self._rng = rng
-        ports = hosts.Ports(run)
         self.history = records.History(time.monotonic())
         shards = (f"shard-{number}" for number in range(size.shards))
         self.setting = checks.Setting(
@@ -117,7 +114,6 @@
                 self.history,
                 self.store.address,
                 self.setting.repeat_fixed,
-                ports,
             )
             for number in range(size.hosts)
         ]
--- a/benchmarks/gateways/soak.py
+++ b/benchmarks/gateways/soak.py
@@ -44,7 +44,7 @@
     for old in directory.glob("front-*"):
         old.unlink()
     plan = faults.draw_faults(random.Random(seed), seconds, kinds)
-    started = rig.Rig(size, directory, random.Random(seed + 1), seed)
+    started = rig.Rig(size, directory, random.Random(seed + 1))
     try:
         started.run(seconds, plan)
     finally:
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 import pathlib
-import random
-import socket
 import tempfile
 import time
 
@@ -12,19 +10,15 @@
 import yaml
 import zmq
 
-from benchmarks import banners, processes
+from benchmarks import banners, ports, processes
 from corianderrill import hostlist, names
 from corianderrill.standins import control, deployments
 
-LOOPBACK = "127.0.0.1"
 READY_WITHIN_S = 30.0
 READY_POLL_S = 0.1
 CONTROL_TIMEOUT_S = 5.0
-PORTS = (12_000, 32_000)
 OPERATOR_TOKEN = "operator-token-of-the-rig"
 
-_ports = random.SystemRandom()
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shape:
@@ -153,7 +147,7 @@
         for number in range(shown.entry_hosts):
             name = names.HostName(f"{shown.fleet}-entry-{number + 1}")
             zone = shown.zones[number % len(shown.zones)]
-            callers, peers, operators = find_free_addresses(3)
+            callers, peers, operators = ports.find_free_addresses(3)
             settings = pathlib.Path(self._folder.name) / f"{name}.yaml"
             settings.write_text(
                 yaml.safe_dump(
@@ -311,27 +305,3 @@
             "POST", f"http://{banner.control}/", body=msgspec.json.encode(command)
         )
         return msgspec.json.decode(response.data, type=kind)
-
-
-def find_free_addresses(count: int) -> list[names.Address]:
-    """Return addresses of the loopback on which nothing listens now.
-
-    The ports lie below those that the kernel gives to outgoing connections, so that
-    none of these takes one before its host listens.
-    """
-    found: list[names.Address] = []
-    while len(found) < count:
-        address = names.Address(LOOPBACK, _ports.randrange(*PORTS))
-        if address not in found and is_free(address):
-            found.append(address)
-    return found
-
-
-def is_free(address: names.Address) -> bool:
-    """Tell whether a server could listen on an address now."""
-    with socket.socket() as probe:
-        try:
-            probe.bind((address.ip, address.port))
-        except OSError:
-            return False
-    return True
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,6 @@
-import io
 import pathlib
 
+from benchmarks import ports
 from tests.utils import processes
 
 EPHEMERAL = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
@@ -15,14 +15,13 @@
 
 
 def test_port_is_not_picked_twice(monkeypatch):
-    monkeypatch.setattr(processes, "_rng", Ports(1, 1, 2))
-    monkeypatch.setattr(processes, "_picked", set())
-    server = io.BytesIO()
-    monkeypatch.setattr(processes.socket, "create_server", lambda _address: server)
+    monkeypatch.setattr(ports, "_rng", Ports(1, 1, 2))
+    monkeypatch.setattr(ports, "_given", set())
+    monkeypatch.setattr(ports, "is_free", lambda _address: True)
     assert processes.pick_address() == "127.0.0.1:1"
     assert processes.pick_address() == "127.0.0.1:2"
 
 
 def test_port_is_none_that_an_outgoing_connection_may_take():
     least = int(EPHEMERAL.read_text().split()[0])
-    assert processes.PORTS[1] <= least
+    assert ports.PORTS[1] <= least
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -2,13 +2,13 @@
 
 import contextlib
 import pathlib
-import random
-import socket
 import subprocess
 import sys
 import time
 from collections.abc import Iterator, Mapping, Sequence
 
+from benchmarks import ports
+
 WAIT_S = 30.0
 
 
@@ -36,13 +36,6 @@
         process.communicate()
 
 
-PORTS = (15_000, 32_000)
-
-_picked: set[int] = set()
-# Runs beside each other must not try the same ports.
-_rng = random.SystemRandom()
-
-
 def list_children(pid: int) -> list[int]:
     """Return the ids of the processes whose parent is `pid`."""
     return [
@@ -53,18 +46,8 @@
 
 
 def pick_address() -> str:
-    """Return an address of the loopback whose port was free a moment ago.
-
-    The port lies below those that the system gives to outgoing connections, which
-    might take it again before it is used; each is given once.
-    """
-    while True:
-        port = _rng.randrange(*PORTS)
-        with contextlib.suppress(OSError):
-            socket.create_server(("127.0.0.1", port)).close()
-            if port not in _picked:
-                _picked.add(port)
-                return f"127.0.0.1:{port}"
+    """Return an address of the loopback that nothing uses."""
+    return str(ports.find_free_addresses(1)[0])
 
 
 def find_interpreter() -> str:
