--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -20,6 +20,7 @@
 
 PAGE_ITEMS = 50
 HISTORY_ITEMS = 2_000
+WATCH_CHANGES = 500
 SERVER_IDLE_S = 5.0
 
 Answer = tuple[str, dict[str, str], bytes]
@@ -189,13 +190,17 @@
         shown = [items[key].show() for key in keys[:PAGE_ITEMS]]
         return {"items": shown, "has_more": len(keys) > PAGE_ITEMS, "at": at}
 
+    def _show_changes(self, found: list[_Change]) -> Answer:
+        events = [change.show() for change in found]
+        return self._show({"events": events, "at": found[-1].revision})
+
     def _watch(self, fields: dict[str, str]) -> Answer:
         after = int(fields["after"])
         with eventlet.Timeout(int(fields["wait_ms"]) / 1000, False):
             while not self.is_down and after >= self._forgotten:
                 found = [c for c in self._history if c.revision > after]
                 if found:
-                    return self._show({"events": [c.show() for c in found]})
+                    return self._show_changes(found[:WATCH_CHANGES])
                 self._changed.wait()
         if self.is_down:
             return "503 Service Unavailable", {}, b""
