Notice a store that falls silent by cheap probes beside the open watch

Cause: the watch that was open when the store fell silent was waited for up to 27 s and nothing else asked meanwhile. Change: while a watch is open and nothing was heard for 0.4 of the time within which a change has to be applied, a stale read of the revision (a tenth of a call's price) is sent on another connection. Where it fails, or shows a revision that the watch does not deliver within 0.5 s, the watch is interrupted, its connection closed and the next one opened. The outage counts from the last reply. The view knows when the store last confirmed it: the age is a metric and stands in the lines of requests; past the time within which a configuration has to apply, an unknown route is refused as not run in place of 404. SIGHUP probes at once; a new store address ends the open watch. A host that starts waits, up to 0.25 s as before, for a configuration that was confirmed. Ruled out: shorter watches (a call each, 10 times the price of a probe); TCP keep-alive (the store's kernel still answers). Measured: the two new tests of the process fail on (30 s without the new configuration; 404) and pass now.

--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -60,16 +60,17 @@
 class StoreLost(msgspec.Struct, tag="store-lost", tag_field="event"):
     """A call to the store failed, the first since the store last answered.
 
-    `call` is the kind of failure.
+    `call` is the kind of failure, `silent_ms` the time since the store's last reply.
     """
 
     call: str
     error: str
     revision: int
+    silent_ms: float = 0.0
 
 
 class StoreReturned(msgspec.Struct, tag="store-returned", tag_field="event"):
-    """The store answers again after an outage of `away_ms`."""
+    """The store answers again, `away_ms` after its last reply before the outage."""
 
     away_ms: float
     revision: int
@@ -139,8 +140,8 @@
 class RequestEnded(msgspec.Struct, tag="request", tag_field="event"):
     """The processing of a request ended.
 
-    `version` is the version of the configuration, `left_ms` the time left until the
-    deadline. `parts` counts the services that replied, `missing` those that did not.
+    `version` is the version of the configuration and `view_age_ms` the time since the
+    store confirmed it, `left_ms` the time left until the deadline. `parts` counts the services that replied, `missing` those that did not.
     `repeats` counts the retries and hedges, `denied` those that the retry budget did
     not allow. `attempts` is empty for a request that succeeded within its goal.
     """
@@ -158,10 +159,15 @@
     repeats: int
     denied: int
     attempts: list[AttemptSummary]
+    view_age_ms: float | None = None
 
 
 class RequestRefused(msgspec.Struct, tag="refused", tag_field="event"):
-    """A request was answered by the gateway and not sent to any replica."""
+    """A request was answered by the gateway and not sent to any replica.
+
+    `view_age_ms` is the time since the store confirmed the configuration `version`;
+    None if it never did.
+    """
 
     request_id: str
     route: str
@@ -170,6 +176,7 @@
     reason: str
     retry_after_s: float | None
     in_flight: int
+    view_age_ms: float | None = None
 
 
 class InternalError(msgspec.Struct, tag="internal-error", tag_field="event"):
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -20,6 +20,7 @@
     retry_budget,
     scrape,
     shared_state,
+    store_probe,
     store_watcher,
     view,
     wsgi_app,
@@ -90,6 +91,7 @@
         self._store_watcher = store_watcher.StoreWatcher(
             self._store_client, self._view, self._pools, self.log, rng
         )
+        self._store_probe = store_probe.StoreProbe(self._store_watcher, rng)
         self._apply_bounds(host_settings.bounds)
         self._stopped = event.Event()
         self._is_shutting_down = False
@@ -98,9 +100,10 @@
         self._shared.retry_budget.apply_bounds(bounds.retry_ratio, bounds.retry_slack)
         host_count = retry_budget.estimate_host_count(bounds.retry_slack)
         self._pools.host_count = host_count
-        self._store_watcher.set_batch_delay(
-            min(bounds.config_apply_s, bounds.drain_s), host_count
-        )
+        max_apply_delay_s = min(bounds.config_apply_s, bounds.drain_s)
+        self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
+        self._store_probe.set_interval(max_apply_delay_s)
+        self._view.max_unconfirmed_s = bounds.config_apply_s
         drain_fallback_s = DRAIN_FALLBACK_SHARE * bounds.drain_s
         # The time counts from the removal of the entry. This host may see the removal
         # `batch_delay_s` later, so that delay is subtracted.
@@ -127,6 +130,7 @@
         signal.signal(signal.SIGINT, self._on_termination_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         eventlet.spawn(self._store_watcher.run)
+        eventlet.spawn(self._store_probe.run)
         eventlet.spawn(self._drop_expired_replicas_and_connections)
         eventlet.spawn(self._flush_log)
         eventlet.spawn(self._check_settings)
@@ -199,9 +203,13 @@
         if host_settings.store_address != self._host_settings.store_address:
             self._store_client = store.StoreClient(host_settings.store_address)
             self._store_watcher.client = self._store_client
+            self._store_watcher.interrupt(
+                store.StoreError(store.FailureKind.UNREACHABLE, "the address changed")
+            )
         self._apply_bounds(host_settings.bounds)
         self._host_settings = host_settings
         self.log.record(event_log.Reloaded(reason, "in-force"))
+        self._store_probe.check()
 
     # Shutdown.
 
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -21,7 +21,10 @@
     meter.set(metrics.GATEWAY_IN_FLIGHT, front_end.in_flight)
     meter.set(metrics.GATEWAY_CONNECTIONS, shared.pools.count_opened())
     meter.set(metrics.GATEWAY_STORE_CALLS, watcher.client.call_count)
-    silent_s = time.monotonic() - watcher.last_reply_at
+    now = time.monotonic()
+    silent_s = now - watcher.last_reply_at
     meter.set(metrics.GATEWAY_STORE_SILENT, round(silent_s, 3))
+    if shared.view.was_confirmed():
+        meter.set(metrics.GATEWAY_VIEW_AGE, round(shared.view.get_age_s(now), 3))
     meter.set(metrics.GATEWAY_LINES_LEFT_OUT, handler.dropped_lines)
     return meter.render()
--- /dev/null
+++ b/corianderrill/gateway/store_probe.py
@@ -0,0 +1,92 @@
+"""Probes the platform's store while a watch of it is open.
+
+A watch that is open looks the same whether nothing changes, the store has fallen
+silent, or only the watch's connection has. Cheap reads of the store's revision on
+another connection tell these apart. A watch that will not be answered is interrupted,
+and the watcher opens the next one on a new connection.
+"""
+
+import dataclasses
+import random
+
+import eventlet
+
+from corianderrill.gateway import store_watcher
+from corianderrill.platform import store
+
+# A probe is due when nothing was heard from the store for this share of the time within
+# which a host has to apply a change.
+PROBE_INTERVAL_RATIO = 0.4
+# Largest random reduction of an interval, as a share of it, so that the probes of many
+# hosts spread out.
+PROBE_INTERVAL_JITTER = 0.2
+# The reply to a watch may arrive this much later than the reply to a probe that shows a
+# newer revision.
+WATCH_REPLY_GRACE_S = 0.5
+# The read at startup may be stale, so the first watch is probed as soon as it is open.
+FIRST_PROBE_INTERVAL_S = 0.03
+
+
+@dataclasses.dataclass(slots=True)
+class StoreProbe:
+    """Interrupts the watch of a store watcher that will not be answered."""
+
+    watcher: store_watcher.StoreWatcher
+    rng: random.Random
+    interval_s: float = 1.0
+
+    def set_interval(self, max_apply_delay_s: float) -> None:
+        """Set the interval from the time within which a host has to apply a change."""
+        self.interval_s = PROBE_INTERVAL_RATIO * max_apply_delay_s
+
+    def run(self) -> None:
+        """Probe whenever nothing was heard for the interval; never returns."""
+        while True:
+            eventlet.sleep(self.compute_delay(self.watcher.clock()))
+            if self._is_due(self.watcher.clock()):
+                self.check()
+
+    def compute_delay(self, now: float) -> float:
+        """Return the time until the next probe may be due, in seconds."""
+        if not self.watcher.view.was_confirmed():
+            return FIRST_PROBE_INTERVAL_S
+        interval_s = self.interval_s * (1.0 - PROBE_INTERVAL_JITTER * self.rng.random())
+        if not self._is_watching():
+            return interval_s
+        return max(self.watcher.last_reply_at + interval_s - now, 0.0)
+
+    def _is_watching(self) -> bool:
+        watcher = self.watcher
+        return watcher.watching_since is not None and watcher.outage_started_at is None
+
+    def _is_due(self, now: float) -> bool:
+        if not self._is_watching():
+            return False
+        if not self.watcher.view.was_confirmed():
+            return True
+        min_silent_s = (1.0 - PROBE_INTERVAL_JITTER) * self.interval_s
+        return now - self.watcher.last_reply_at >= min_silent_s
+
+    def check(self) -> None:
+        """Probe the store now and interrupt the watch if it will not be answered."""
+        watcher = self.watcher
+        watching_since = watcher.watching_since
+        if watching_since is None:
+            return
+        try:
+            revision = watcher.client.probe_revision()
+        except store.StoreError as error:
+            if watcher.watching_since == watching_since:
+                watcher.interrupt(error)
+            return
+        watcher.record_probe(revision)
+        if revision <= watcher.revision:
+            return
+        eventlet.sleep(WATCH_REPLY_GRACE_S)
+        if watcher.watching_since == watching_since and watcher.revision < revision:
+            watcher.interrupt(
+                store.StoreError(
+                    store.FailureKind.UNREACHABLE,
+                    f"no reply to a watch, though revision {revision} exists",
+                )
+            )
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -1,7 +1,8 @@
 """Watches the platform's store and applies its changes to the view of a host.
 
 The watcher reads all keys once, then sends long-poll watches from the revision it
-has reached. It reads all keys again when the store no longer has the history.
+has reached. It reads all keys again when the store no longer has the history. A watch
+that gets no reply is interrupted by `store_probe`.
 """
 
 import dataclasses
@@ -10,6 +11,7 @@
 from collections.abc import Callable
 
 import eventlet
+from eventlet import greenthread
 
 from corianderrill.gateway import event_log, pools, view
 from corianderrill.platform import documents, store
@@ -38,8 +40,9 @@
 class StoreWatcher:
     """Keeps the view of one host current with the store.
 
-    `revision` is the revision up to which changes are applied. `outage_started_at`
-    and `last_reply_at` are times of `clock`.
+    `revision` is the revision up to which changes are applied. `outage_started_at`,
+    `last_reply_at` and `watching_since` are times of `clock`; the first is the time of
+    the last reply before the outage, the last is None unless a watch is open.
     """
 
     client: store.StoreClient
@@ -52,7 +55,12 @@
     revision: view.StoreRevision = view.StoreRevision(0)
     outage_started_at: float | None = None
     last_reply_at: float = 0.0
+    watching_since: float | None = None
     _consecutive_failures: int = 0
+    _watch_thread: greenthread.GreenThread | None = None
+
+    def __post_init__(self) -> None:
+        self.last_reply_at = self.clock()
 
     def set_batch_delay(self, max_apply_delay_s: float, host_count: float) -> None:
         """Set the batch delay from the time within which a host has to apply a change.
@@ -92,7 +100,7 @@
         # changes.
         allow_stale = not self.revision
         batch = self.client.read_range(ALL_KEYS_PREFIX, None, allow_stale)
-        self._record_success()
+        self._record_success(is_current=not allow_stale)
         oldest_revision = batch.revision
         items = list(batch.items)
         while batch.has_more and batch.items:
@@ -113,13 +121,13 @@
         self._retain_pools()
 
     def _watch_once(self) -> None:
-        wait_s = (
-            WATCH_WAIT_S
-            if self.outage_started_at is None
-            else WATCH_WAIT_AFTER_FAILURE_S
-        )
-        batch = self.client.watch(ALL_KEYS_PREFIX, self.revision, wait_s)
-        self._record_success()
+        wait_s = WATCH_WAIT_S
+        if self.outage_started_at is not None:
+            # A probe is cheaper than a watch that fails.
+            self.client.probe_revision()
+            wait_s = WATCH_WAIT_AFTER_FAILURE_S
+        batch = self._wait_for_changes(wait_s)
+        self._record_success(is_current=True)
         self._apply_items(batch.items, self.clock())
         self.revision = view.StoreRevision(max(self.revision, batch.revision))
         if batch.items:
@@ -127,9 +135,34 @@
         if 0 < len(batch.items) < MIN_BACKLOG_CHANGES:
             eventlet.sleep(self.batch_delay_s)
 
-    def _record_success(self) -> None:
+    def _wait_for_changes(self, wait_s: float) -> store.Batch:
+        self.watching_since = self.clock()
+        self._watch_thread = eventlet.spawn(
+            self.client.watch, ALL_KEYS_PREFIX, self.revision, wait_s
+        )
+        try:
+            return self._watch_thread.wait()
+        finally:
+            self._watch_thread = None
+            self.watching_since = None
+
+    def interrupt(self, error: store.StoreError) -> None:
+        """End the open watch, if any, with an error; its connection is closed."""
+        if self._watch_thread is not None:
+            self._watch_thread.kill(store.StoreError, error, None)
+
+    def record_probe(self, revision: view.StoreRevision) -> None:
+        """Record a reply to a probe: the store is at `revision` or a later one."""
+        self.last_reply_at = self.clock()
+        if revision <= self.revision:
+            self.view.confirmed_at = self.last_reply_at
+
+    def _record_success(self, is_current: bool) -> None:
+        """Record a reply; `is_current` unless the store allowed it to be stale."""
         now = self.clock()
         self._consecutive_failures = 0
+        if is_current:
+            self.view.confirmed_at = now
         self.last_reply_at = now
         if self.outage_started_at is None:
             return
@@ -145,9 +178,12 @@
             self.log.record(event_log.HistoryLost(self.revision))
             return
         if self.outage_started_at is None:
-            self.outage_started_at = now
+            self.outage_started_at = self.last_reply_at
+            silent_ms = round(1000 * (now - self.last_reply_at))
             self.log.record(
-                event_log.StoreLost(error.kind.value, str(error), self.revision)
+                event_log.StoreLost(
+                    error.kind.value, str(error), self.revision, silent_ms
+                )
             )
         backoff_s = min(BACKOFF_BASE_S * 2**self._consecutive_failures, BACKOFF_MAX_S)
         self._consecutive_failures = min(self._consecutive_failures + 1, 8)
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import itertools
+import math
 from typing import NewType
 
 from corianderrill import names
@@ -49,7 +50,8 @@
     time for a replica that registered as draining. `lapsed_fallback_s` is this time for
     a replica whose entry was removed although it never registered as draining; it may
     register again soon. A removal that is read before `removals_untrusted_until` may be
-    caused by a store outage.
+    caused by a store outage. `confirmed_at` is when the store last showed that the view
+    has all changes; for `max_unconfirmed_s` after that, the view counts as current.
 
     Times are in seconds of the host's monotonic clock.
     """
@@ -58,6 +60,8 @@
     lapsed_fallback_s: float
     configuration: routes.Configuration | None = None
     removals_untrusted_until: float = 0.0
+    confirmed_at: float = -math.inf
+    max_unconfirmed_s: float = math.inf
     _entries: dict[replicas.InstanceId, _Entry] = dataclasses.field(
         default_factory=dict
     )
@@ -73,6 +77,18 @@
         self.configuration = configuration
         return UpdateOutcome.APPLIED
 
+    def was_confirmed(self) -> bool:
+        """Return whether the store ever confirmed the view."""
+        return math.isfinite(self.confirmed_at)
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the store has confirmed the view recently."""
+        return self.get_age_s(now) <= self.max_unconfirmed_s
+
+    def get_age_s(self, now: float) -> float:
+        """Return the time since the store confirmed the view; infinite if never."""
+        return now - self.confirmed_at
+
     def record_store_recovery(self, now: float) -> None:
         """Distrust removals for a while, now that the store answers after an outage."""
         self.removals_untrusted_until = now + RECOVERY_GRACE_S
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -27,8 +27,8 @@
 MIN_RETRY_AFTER_S = 0.05
 RETRY_AFTER_JITTER_S = 0.15
 NO_CONFIGURATION_RETRY_AFTER_S = 0.2
-# A host reads the configuration within this time after its start, if the store answers.
-# Requests that arrive before wait for the configuration.
+# A host has a configuration that the store confirmed within this time after its start,
+# if the store answers. Requests that arrive before wait for it.
 STARTUP_WAIT_S = 0.25
 STARTUP_POLL_INTERVAL_S = 0.01
 # While too many availability zones seem cut off, a host still forwards one request per
@@ -125,7 +125,7 @@
         host = requests.find_header(headers, "Host") or ""
         route = configuration.find_route(host, path)
         if route is None:
-            return self._refuse(request_id, "", 404, "no-route")
+            return self._refuse_unknown_route(request_id)
         if not request_id:
             return self._refuse(request_id, route.name, 400, "no-request-id")
         if self.in_flight > MAX_IN_FLIGHT_REQUESTS:
@@ -158,6 +158,14 @@
         )
         return self._forward(environ, inbound, route)
 
+    def _refuse_unknown_route(self, request_id: str) -> Response:
+        """Refuse a request that has no route, which may have been added meanwhile."""
+        if self._shared.view.is_current(self._shared.loop.now()):
+            return self._refuse(request_id, "", 404, "no-route")
+        return self._refuse(
+            request_id, "", 503, "no-route-yet", NO_CONFIGURATION_RETRY_AFTER_S
+        )
+
     def _record_incomplete_body(
         self, request_id: str, route: str, error: OSError
     ) -> None:
@@ -169,9 +177,12 @@
         )
 
     def _wait_for_configuration(self, now: float) -> routes.Configuration | None:
-        """Return the configuration; wait for it briefly after the start of the host."""
+        """Return the configuration.
+
+        Shortly after the start of the host, wait until the store has confirmed it.
+        """
         view = self._shared.view
-        while view.configuration is None and now - self._started_at < STARTUP_WAIT_S:
+        while not view.was_confirmed() and now - self._started_at < STARTUP_WAIT_S:
             eventlet.sleep(STARTUP_POLL_INTERVAL_S)
             now = self._shared.loop.now()
         return view.configuration
@@ -324,10 +335,17 @@
                 reason=reason,
                 retry_after_s=retry_after_s,
                 in_flight=self.in_flight,
+                view_age_ms=self._get_view_age_ms(),
             )
         )
         return Response(status, headers, b"")
 
+    def _get_view_age_ms(self) -> float | None:
+        view = self._shared.view
+        if not view.was_confirmed():
+            return None
+        return round(1000 * view.get_age_s(self._shared.loop.now()))
+
     def _build_retry_after(self, min_delay_s: float) -> tuple[str, str]:
         delay_s = min_delay_s + RETRY_AFTER_JITTER_S * self._shared.rng.random()
         return ("Retry-After", f"{delay_s:.3f}")
@@ -370,6 +388,7 @@
                 missing=missing_count,
                 repeats=request_coordinator.extra_attempts,
                 denied=request_coordinator.denied_extra_attempts,
+                view_age_ms=self._get_view_age_ms(),
                 attempts=[]
                 if is_complete_in_time
                 else _summarize_attempts(request_coordinator),
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -205,6 +205,9 @@
 GATEWAY_STORE_SILENT = _gauge(
     "gateway_store_silent", "Time since the store answered.", unit="seconds"
 )
+GATEWAY_VIEW_AGE = _gauge(
+    "gateway_view_age", "Time since the store confirmed the view.", unit="seconds"
+)
 GATEWAY_LINES_LEFT_OUT = _gauge(
     "gateway_log_lines_left_out", "Log lines over their rate, or not read."
 )
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -20,12 +20,15 @@
 
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.6
+PROBE_TIMEOUT_S = 1.0
 # Added to the time that the store may hold a watch open, for the read timeout.
 WATCH_TIMEOUT_MARGIN_S = 2.0
 # TCP keep-alive probes detect a dead connection within three seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# No key begins with it, so a range read of it returns only the store's revision.
+EMPTY_PREFIX = "~"
 
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -132,6 +135,16 @@
         items = tuple(map(_decode_item, reply.items))
         return Batch(items, view.StoreRevision(reply.at), reply.has_more)
 
+    def probe_revision(self) -> view.StoreRevision:
+        """Return the store's revision, which may be seconds old.
+
+        The call shows whether the store answers, at a tenth of the cost of a current
+        read.
+        """
+        query = {"prefix": EMPTY_PREFIX, "serializable": "1"}
+        body = self._get("/api/kv-range", query, PROBE_TIMEOUT_S)
+        return view.StoreRevision(self._decode(_RANGE_DECODER, body).at)
+
     def watch(self, prefix: str, after: view.StoreRevision, wait_s: float) -> Batch:
         """Wait up to `wait_s` for changes of keys with a prefix after a revision."""
         query = {
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -116,7 +116,8 @@
 class FakeStore(LoopbackServer):
     """A key-value store with revisions, paged range reads and long-poll watches.
 
-    While `is_down` is set, all calls get status 503. After `compact_history`, watches
+    While `is_down` is set, all calls get status 503. While `fall_silent` is in force,
+    no call is answered, and those that were open then never are. After `compact_history`, watches
     from an earlier revision get status 410. After `snapshot_for_stale_reads`, range
     reads that allow stale data are answered from the snapshot.
     """
@@ -124,6 +125,8 @@
     def __init__(self) -> None:
         self.revision = 1
         self.is_down = False
+        self._is_silent = False
+        self._silence_count = 0
         self.call_count = 0
         self._items: dict[str, _Change] = {}
         self._history: list[_Change] = []
@@ -148,6 +151,15 @@
         self._append_to_history(_Change(key, self.revision, None))
         return self.revision
 
+    def fall_silent(self) -> None:
+        """Answer no call until `end_silence`, also none that is open now."""
+        self._is_silent = True
+        self._silence_count += 1
+
+    def end_silence(self) -> None:
+        """Answer new calls again; those that came before stay without an answer."""
+        self._is_silent = False
+
     def snapshot_for_stale_reads(self) -> None:
         """Take a snapshot of the store; all later stale reads are answered from it."""
         self._stale_snapshot = dict(self._items), self.revision
@@ -167,7 +179,14 @@
         previous_event.send()
 
     def handle_request(self, environ: dict[str, Any]) -> HttpResponse:
-        """Answer a call of the store client."""
+        """Answer a call of the store client, unless the store falls silent."""
+        silence_count = self._silence_count
+        response = None if self._is_silent else self._answer(environ)
+        if self._is_silent or silence_count != self._silence_count:
+            event.Event().wait()
+        return response
+
+    def _answer(self, environ: dict[str, Any]) -> HttpResponse:
         self.call_count += 1
         if self.is_down:
             return "503 Service Unavailable", {}, b""
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -82,6 +82,26 @@
     assert rig.send_request("/single/x")[0].status == 404
 
 
+def test_configuration_published_after_the_store_fell_silent_applies_in_time(rig):
+    # The watch that was open when the store fell silent is never answered.
+    rig.store.fall_silent()
+    eventlet.sleep(2.0)
+    rig.store.end_silence()
+    rig.publish_configuration(version=5, single={"prefix": "/new-single/"})
+    with eventlet.Timeout(gateway_rig.CONFIG_APPLY_S + gateway_rig.CONTACT_S):
+        while rig.send_request("/new-single/x")[0].status != 200:
+            eventlet.sleep(gateway_rig.POLL_INTERVAL_S)
+
+
+def test_unknown_route_is_refused_as_not_run_while_the_store_is_silent(rig):
+    rig.store.fall_silent()
+    rig.wait_until(lambda: rig.send_request("/other/x")[0].status == 503)
+    response, _ = rig.send_request("/other/x")
+    assert float(response.headers["Retry-After"]) > 0
+    rig.store.end_silence()
+    rig.wait_until(lambda: rig.send_request("/other/x")[0].status == 404)
+
+
 def test_malformed_configuration_is_skipped_and_logged(rig):
     rig.store.put("op/config", b"{nonsense")
     rig.publish_configuration(version=7, single={"prefix": "/new-single/"})
--- /dev/null
+++ b/tests/test_gateway_store_probe.py
@@ -0,0 +1,163 @@
+"""Detection of a watch that the store will never answer.
+
+Pattern: the store, or only the connection of the watch, falls silent while it stays
+open; changes that are made meanwhile or later must still reach the host.
+"""
+
+import random
+
+import eventlet
+import pytest
+
+from corianderrill.gateway import event_log, store_probe, store_watcher
+from corianderrill.platform import store
+from tests.utils import gateway_builders as builders
+
+APPLY_DELAY_S = 0.25
+TIMEOUT_S = 5.0
+
+
+class FakeClient:
+    """A store client whose watches stay unanswered until a revision is newer.
+
+    While `is_silent` is set, calls fail after a read timeout. A watch that was opened
+    before `revision` was raised stays unanswered.
+    """
+
+    def __init__(self):
+        self.revision = 5
+        self.is_silent = False
+        self.watches = []
+        self.probe_count = 0
+
+    def _fail_if_silent(self):
+        if self.is_silent:
+            eventlet.sleep(0.05)
+            raise store.StoreError(store.FailureKind.UNREACHABLE, "ReadTimeoutError")
+
+    def read_range(self, prefix, after, allow_stale=False):
+        self._fail_if_silent()
+        return store.Batch((), self.revision)
+
+    def probe_revision(self):
+        self.probe_count += 1
+        self._fail_if_silent()
+        return self.revision
+
+    def watch(self, prefix, after, wait_s):
+        self._fail_if_silent()
+        self.watches.append(after)
+        if after >= self.revision:
+            eventlet.sleep(wait_s)
+        return store.Batch((), self.revision)
+
+
+class FakePools:
+    def retain(self, addresses):
+        pass
+
+
+class RecordingLog:
+    def __init__(self):
+        self.records = []
+
+    def record(self, record):
+        self.records.append(record)
+
+    def list_of(self, kind):
+        return [record for record in self.records if isinstance(record, kind)]
+
+
+class Watched:
+    """A running watcher and its probe against a fake store client."""
+
+    def __init__(self):
+        self.client = FakeClient()
+        self.log = RecordingLog()
+        self.view = builders.build_view()
+        rng = random.Random(1)
+        self.watcher = store_watcher.StoreWatcher(
+            self.client, self.view, FakePools(), self.log, rng, batch_delay_s=0.0
+        )
+        self.probe = store_probe.StoreProbe(self.watcher, rng)
+        self.probe.set_interval(APPLY_DELAY_S)
+        self.threads = [
+            eventlet.spawn(self.watcher.run),
+            eventlet.spawn(self.probe.run),
+        ]
+
+    def wait_until(self, condition):
+        with eventlet.Timeout(TIMEOUT_S):
+            while not condition():
+                eventlet.sleep(0.01)
+
+    def wait_until_watching(self):
+        self.wait_until(lambda: self.watcher.watching_since is not None)
+
+    def stop(self):
+        for thread in self.threads:
+            thread.kill()
+
+
+@pytest.fixture
+def watched(monkeypatch):
+    monkeypatch.setattr(store_probe, "WATCH_REPLY_GRACE_S", 0.05)
+    running = Watched()
+    running.wait_until(running.view.was_confirmed)
+    running.wait_until_watching()
+    yield running
+    running.stop()
+
+
+def test_store_that_falls_silent_is_noticed_and_the_age_of_its_last_reply_logged(
+    watched,
+):
+    watched.client.is_silent = True
+    watched.wait_until(lambda: watched.log.list_of(event_log.StoreLost))
+    lost = watched.log.list_of(event_log.StoreLost)[0]
+    assert lost.silent_ms >= 1000 * 0.8 * store_probe.PROBE_INTERVAL_RATIO * (
+        APPLY_DELAY_S
+    )
+
+
+def test_change_made_in_an_outage_is_applied_once_the_store_answers_again(watched):
+    watched.client.is_silent = True
+    watched.wait_until(lambda: watched.log.list_of(event_log.StoreLost))
+    watched.client.revision = 9
+    watched.client.is_silent = False
+    watched.wait_until(lambda: watched.watcher.revision == 9)
+    assert watched.log.list_of(event_log.StoreReturned)
+
+
+def test_watch_whose_connection_alone_is_silent_is_sent_again(watched):
+    watched.client.revision = 7
+    watched.wait_until(lambda: watched.watcher.revision == 7)
+    assert watched.client.watches[-1] >= 5
+
+
+def test_watch_without_changes_stays_open_while_the_store_answers_probes(watched):
+    watch_count = len(watched.client.watches)
+    probe_count = watched.client.probe_count
+    watched.wait_until(lambda: watched.client.probe_count >= probe_count + 3)
+    assert len(watched.client.watches) == watch_count
+    assert not watched.log.list_of(event_log.StoreLost)
+
+
+def test_probe_of_an_answering_store_confirms_the_view(watched):
+    confirmed_at = watched.view.confirmed_at
+    watched.wait_until(lambda: watched.view.confirmed_at > confirmed_at)
+
+
+def test_view_is_no_longer_current_when_the_store_stays_silent(watched):
+    watched.view.max_unconfirmed_s = 0.2
+    assert watched.view.is_current(watched.watcher.clock())
+    watched.client.is_silent = True
+    watched.wait_until(lambda: not watched.view.is_current(watched.watcher.clock()))
+
+
+def test_check_on_request_probes_at_once(watched):
+    watched.probe.interval_s = 60.0
+    eventlet.sleep(0.15)
+    probe_count = watched.client.probe_count
+    watched.probe.check()
+    assert watched.client.probe_count == probe_count + 1
--- a/tests/utils/gateway_rig.py
+++ b/tests/utils/gateway_rig.py
@@ -15,6 +15,10 @@
 
 TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.02
+# The time within which a host has to apply a configuration, and within which it has to
+# be in touch with the store again after an outage.
+CONFIG_APPLY_S = 3.0
+CONTACT_S = 4.0
 HOST = "leno.example"
 SHARDS = ("one", "two", "three")
 
@@ -70,7 +74,7 @@
             store_address=str(self.store.address),
             drain_ms=3000,
             grace_s=6,
-            config_apply_ms=3000,
+            config_apply_ms=int(1000 * CONFIG_APPLY_S),
             retry_ratio=0.2,
             retry_slack=58,
         )
