--- /dev/null
+++ b/corianderrill/gateway/aggregator_app.py
@@ -0,0 +1,199 @@
+"""The WSGI application that answers the queries that other hosts delegate."""
+
+import socket
+from collections.abc import Iterable
+
+from eventlet import event
+
+from corianderrill.gateway import (
+    caller_connections,
+    coordinator,
+    delegation,
+    delegation_messages,
+    event_log,
+    routes,
+    shared_state,
+    top_records,
+    wsgi_app,
+)
+from corianderrill.platform import requests
+
+# More queries at once would make all of them late.
+MAX_IN_FLIGHT_QUERIES = 64
+# Hosts may keep an idle connection for this long.
+KEEP_ALIVE_S = 30
+
+_REASON_PHRASES = {200: "OK", 502: "Bad Gateway", 503: "Service Unavailable"}
+
+
+class AggregatorApp:
+    """Validates delegated queries, sends their sub-requests and merges the parts."""
+
+    def __init__(self, shared: shared_state.SharedState) -> None:
+        self._shared = shared
+        self.in_flight = 0
+        self.is_shutting_down = False
+
+    def get_header_timeout_s(self) -> float:
+        """Return how long a host may take to send the headers, in seconds."""
+        return routes.CallerLimits().header_timeout_s
+
+    def get_idle_timeout_s(self) -> float:
+        """Return how long an idle connection of a host is kept open, in seconds."""
+        return 2.0 * KEEP_ALIVE_S
+
+    def __call__(
+        self, environ: dict[str, object], start_response: wsgi_app.StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one delegated query (the WSGI entry point)."""
+        self.in_flight += 1
+        try:
+            response = self._serve(environ)
+        finally:
+            self.in_flight -= 1
+        if self.is_shutting_down:
+            environ["corianderrill.connection"].close_connection = True
+        headers = [
+            *response.headers,
+            ("Keep-Alive", f"timeout={KEEP_ALIVE_S}"),
+            ("Content-Length", str(len(response.body))),
+        ]
+        phrase = _REASON_PHRASES[response.status]
+        start_response(f"{response.status} {phrase}", headers)
+        return [response.body]
+
+    def _serve(self, environ: dict[str, object]) -> wsgi_app.Response:
+        received_at = self._shared.loop.now()
+        headers = environ["headers_raw"]
+        request_id = requests.find_header(headers, requests.REQUEST_ID_HEADER) or ""
+        try:
+            terms = delegation_messages.parse_terms(headers)
+        except delegation_messages.MessageError as error:
+            return self._refuse(request_id, str(error))
+        configuration = self._shared.view.configuration
+        host = requests.find_header(headers, "Host") or ""
+        path = environ["RAW_PATH_INFO"]
+        if configuration is None or configuration.version != terms.version:
+            return self._refuse(request_id, "other-version")
+        route = configuration.find_route(host, path)
+        if route is None or not _covers(route, terms.shards):
+            return self._refuse(request_id, "no-route")
+        if self.is_shutting_down or self.in_flight > MAX_IN_FLIGHT_QUERIES:
+            return self._refuse(request_id, "no-capacity")
+        sock = environ["eventlet.input"].get_socket()
+        if not _confirm(sock):
+            return self._refuse(request_id, "disconnected")
+        query = environ.get("QUERY_STRING")
+        inbound = requests.build_inbound_request(
+            environ["REQUEST_METHOD"],
+            f"{path}?{query}" if query else path,
+            delegation_messages.strip_terms(headers),
+            environ["wsgi.input"].read(),
+            requests.parse_deadline(
+                requests.find_header(headers, requests.DEADLINE_MS_HEADER)
+            )
+            or route.timeout_s,
+            received_at,
+        )
+        return self._answer(sock, inbound, route, terms)
+
+    def _answer(
+        self,
+        sock: object,
+        inbound: requests.InboundRequest,
+        route: routes.Route,
+        terms: delegation_messages.Terms,
+    ) -> wsgi_app.Response:
+        outcome_event = event.Event()
+        query = coordinator.RequestCoordinator(
+            self._shared,
+            inbound,
+            route,
+            tuple(route.target.shards[index] for index in terms.shards),
+            outcome_event.send,
+            mode=(
+                delegation.Mode.OTHER_ZONES
+                if terms.may_delegate
+                else delegation.Mode.NOTHING
+            ),
+            terms=terms,
+        )
+        watcher = caller_connections.DisconnectWatcher(
+            sock, query.handle_caller_disconnect, delay_s=0.0
+        )
+        try:
+            query.start()
+            outcome = outcome_event.wait()
+        finally:
+            watcher.stop()
+        self._record(inbound, query, outcome)
+        return _build_response(query, outcome)
+
+    def _record(
+        self,
+        inbound: requests.InboundRequest,
+        query: coordinator.RequestCoordinator,
+        outcome: coordinator.RequestOutcome,
+    ) -> None:
+        took_s = self._shared.loop.now() - inbound.received_at
+        self._shared.log.record(
+            event_log.DelegatedQueryEnded(
+                request_id=inbound.id,
+                shards=len(query.sub_requests),
+                parts=query.count_parts(),
+                outcome=outcome.value,
+                took_ms=round(1000 * took_s, 1),
+            )
+        )
+
+    def _refuse(self, request_id: str, reason: str) -> wsgi_app.Response:
+        """Refuse a query before any sub-request was sent."""
+        self._shared.log.record(
+            event_log.DelegatedQueryEnded(request_id, 0, 0, reason, 0.0)
+        )
+        headers = [requests.NOT_EXECUTED_HEADER]
+        return wsgi_app.Response(503, headers, b"")
+
+
+def _covers(route: routes.Route, shards: tuple[int, ...]) -> bool:
+    match route.target:
+        case routes.ScatterGather(shards=names_of_shards):
+            return bool(shards) and max(shards) < len(names_of_shards)
+        case _:
+            return False
+
+
+def _confirm(sock: object) -> bool:
+    """Confirm a query to the host that sent it; return False if that host is gone.
+
+    A host that was paused may read a query whose sender has given it up meanwhile.
+    """
+    try:
+        if sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
+            return False
+    except BlockingIOError:
+        pass
+    except OSError:
+        return False
+    try:
+        sock.sendall(delegation_messages.CONFIRMATION)
+    except OSError:
+        return False
+    return True
+
+
+def _build_response(
+    query: coordinator.RequestCoordinator, outcome: coordinator.RequestOutcome
+) -> wsgi_app.Response:
+    match outcome:
+        case coordinator.RequestOutcome.COMPLETE | coordinator.RequestOutcome.PARTIAL:
+            parts = query.collect_parts()
+            headers = delegation_messages.list_answer_headers(
+                query.request.id, parts.signatures, parts.shards
+            )
+            body = top_records.merge_top_records(parts.bodies, query.route.target.top_k)
+            return wsgi_app.Response(200, headers, body)
+        case coordinator.RequestOutcome.NOT_EXECUTED:
+            return wsgi_app.Response(503, [requests.NOT_EXECUTED_HEADER], b"")
+        case _:
+            return wsgi_app.Response(502, [], b"")
--- /dev/null
+++ b/corianderrill/gateway/aggregators.py
@@ -0,0 +1,118 @@
+"""Aggregators: hosts that send and merge queries over shards for other hosts.
+
+Where many hosts share the load, each of them queries a replica rarely: its connections
+have been closed and its observations are old. A few hosts of each availability zone
+therefore act as aggregators. Each holds a slot of its zone in the platform's store,
+under a lease, so all hosts learn of it with the watch that they have open anyway.
+
+Holding a slot is a hint where to send, not a permission: any host answers a query that
+is delegated to it, and a host that lost its slot unnoticed does no harm.
+"""
+
+import dataclasses
+import math
+import random
+from typing import NewType
+
+from corianderrill import names
+
+Slot = NewType("Slot", int)
+
+SLOTS_PER_ZONE = 2
+# An aggregator that failed gets no queries for this time, which doubles with each
+# further failure.
+BACKOFF_BASE_S = 1.0
+MAX_BACKOFF_S = 8.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotKey:
+    """One of the aggregator slots of a zone."""
+
+    zone: names.ZoneName
+    slot: Slot
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Aggregator:
+    """A host that holds an aggregator slot, and its address for delegated queries."""
+
+    key: SlotKey
+    host: names.HostName
+    address: names.Address
+
+
+@dataclasses.dataclass(slots=True)
+class _Health:
+    consecutive_failures: int = 0
+    unavailable_until: float = -math.inf
+
+
+@dataclasses.dataclass(slots=True)
+class AggregatorDirectory:
+    """The aggregators that a host knows, and how they did for it.
+
+    Times are in seconds of the host's monotonic clock.
+    """
+
+    own_host: names.HostName
+    _holders: dict[SlotKey, Aggregator | None] = dataclasses.field(default_factory=dict)
+    _revisions: dict[SlotKey, int] = dataclasses.field(default_factory=dict)
+    _health: dict[names.Address, _Health] = dataclasses.field(default_factory=dict)
+
+    def apply(self, key: SlotKey, holder: Aggregator | None, revision: int) -> bool:
+        """Set who holds a slot; return False if a newer revision was applied before."""
+        if revision <= self._revisions.get(key, 0):
+            return False
+        self._revisions[key] = revision
+        self._holders[key] = holder
+        if holder is not None:
+            self._health.pop(holder.address, None)
+        return True
+
+    def list_keys(self) -> set[SlotKey]:
+        """Return the slots that are held."""
+        return {key for key, holder in self._holders.items() if holder is not None}
+
+    def list_vacant(self, zone: names.ZoneName) -> list[SlotKey]:
+        """Return the slots of a zone that nobody is known to hold."""
+        keys = (SlotKey(zone, Slot(slot)) for slot in range(SLOTS_PER_ZONE))
+        return [key for key in keys if self._holders.get(key) is None]
+
+    def is_aggregator(self) -> bool:
+        """Return whether this host is known to hold a slot."""
+        return any(
+            holder is not None and holder.host == self.own_host
+            for holder in self._holders.values()
+        )
+
+    def select(
+        self, zone: names.ZoneName, now: float, rng: random.Random
+    ) -> Aggregator | None:
+        """Return an available aggregator of a zone other than this host, if any."""
+        available = [
+            holder
+            for key, holder in self._holders.items()
+            if key.zone == zone
+            and holder is not None
+            and holder.host != self.own_host
+            and self._is_available(holder, now)
+        ]
+        return rng.choice(available) if available else None
+
+    def _is_available(self, aggregator: Aggregator, now: float) -> bool:
+        health = self._health.get(aggregator.address)
+        return health is None or now >= health.unavailable_until
+
+    def record_success(self, aggregator: Aggregator) -> None:
+        """Record an answer of an aggregator."""
+        self._health.pop(aggregator.address, None)
+
+    def record_failure(self, aggregator: Aggregator, now: float) -> None:
+        """Record that an aggregator refused, failed or did not answer in time."""
+        health = self._health.setdefault(aggregator.address, _Health())
+        if now < health.unavailable_until:
+            return
+        backoff_s = BACKOFF_BASE_S * 2 ** min(health.consecutive_failures, 6)
+        health.consecutive_failures += 1
+        health.unavailable_until = now + min(backoff_s, MAX_BACKOFF_S)
--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -93,6 +93,9 @@
         """Assign a connection to an attempt that was queued for one."""
         self.connection = connection
 
+    def on_interim_reply(self) -> None:
+        """Ignore an interim reply of a replica."""
+
     def on_result(
         self, result: connections.RawReply | connections.FailedExchange
     ) -> None:
@@ -118,15 +121,32 @@
 class SubRequest:
     """The part of a request that goes to one service, and its attempts.
 
-    `reply` is the first success, `error_reply` the last valid error reply. `is_done` is
-    set on success, or when no attempt is pending and none can follow.
+    `index` is the position of the service among those of the route. `reply` is the
+    first success, `error_reply` the last valid error reply. `is_done` is set on
+    success, or when no attempt is pending and none can follow. While `is_delegated`,
+    another host sends the attempts. `is_in_answer` is set if the part came with that
+    host's answer; `lost_delegations` counts hosts that may have sent an attempt and did
+    not answer.
     """
 
     service: names.ServiceName
+    index: int = 0
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     reply: replies.Reply | None = None
     error_reply: replies.Reply | None = None
     is_done: bool = False
+    is_delegated: bool = False
+    is_in_answer: bool = False
+    lost_delegations: int = 0
+
+    @property
+    def has_part(self) -> bool:
+        """Whether the part of this sub-request was received."""
+        return self.reply is not None or self.is_in_answer
+
+    def count_attempted_replicas(self) -> int:
+        """Return how many replicas may have got an attempt, as far as is known."""
+        return len(self.list_attempted_replicas()) + self.lost_delegations
 
     def list_attempted_replicas(self) -> list[replicas.Replica]:
         """Return the replicas of all attempts except those that could not be sent."""
--- a/corianderrill/gateway/caller_connections.py
+++ b/corianderrill/gateway/caller_connections.py
@@ -81,14 +81,17 @@
 class DisconnectWatcher:
     """Calls `on_disconnect` if a caller closes its connection before its response."""
 
-    def __init__(self, sock: object, on_disconnect: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        sock: object,
+        on_disconnect: Callable[[], None],
+        delay_s: float = DISCONNECT_WATCH_DELAY_S,
+    ) -> None:
         self._sock = sock
         self._on_disconnect = on_disconnect
         self._listener = None
         self._hub = hubs.get_hub()
-        self._timer = self._hub.schedule_call_global(
-            DISCONNECT_WATCH_DELAY_S, self._start_listening
-        )
+        self._timer = self._hub.schedule_call_global(delay_s, self._start_listening)
 
     def _start_listening(self) -> None:
         self._timer = None
--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -80,6 +80,9 @@
     def on_send_start(self) -> None:
         """Handle the start of sending; called just before the first byte is sent."""
 
+    def on_interim_reply(self) -> None:
+        """Handle an interim (1xx) reply; the reply itself is still to come."""
+
     def on_result(self, result: RawReply | FailedExchange) -> None:
         """Handle the reply, or the reason why there is none."""
 
@@ -284,6 +287,8 @@
         if self._status < 200:
             self._headers = []
             self._has_headers = False
+            if self._request is not None:
+                self._request.on_interim_reply()
             return
         self._is_complete = True
         self._is_reusable = self._is_reusable and self._parser.should_keep_alive()
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -7,15 +7,18 @@
 are extra attempts; the retry budget limits them.
 """
 
+import dataclasses
 import enum
 import itertools
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
     attempts,
     connections,
+    delegation,
+    delegation_messages,
     event_log,
     replica_selection,
     replicas,
@@ -75,6 +78,15 @@
     CALLER_DISCONNECTED = "abandoned"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """The parts of an answer, some of them merged; `shards` are their positions."""
+
+    signatures: list[str]
+    bodies: list[bytes]
+    shards: list[int]
+
+
 class RequestCoordinator:
     """Sends the attempts of one request and decides its outcome."""
 
@@ -86,6 +98,8 @@
         services: tuple[names.ServiceName, ...],
         on_finished: Callable[[RequestOutcome], None],
         answer_margin_s: float = ANSWER_DELIVERY_MARGIN_S,
+        mode: delegation.Mode = delegation.Mode.NOTHING,
+        terms: delegation_messages.Terms | None = None,
     ) -> None:
         self.tools = shared
         self.loop = shared.loop
@@ -94,7 +108,13 @@
         self.route = route
         self.is_idempotent = route.retry_safety is routes.RetrySafety.IDEMPOTENT
         self._can_hedge = self.is_idempotent and route.max_attempts > 1
-        self.sub_requests = [attempts.SubRequest(service) for service in services]
+        indexes = range(len(services)) if terms is None else terms.shards
+        self.sub_requests = [
+            attempts.SubRequest(service, index)
+            for service, index in zip(services, indexes, strict=True)
+        ]
+        self._mode = mode
+        self._delegations: list[delegation.Delegation] = []
         self.outcome: RequestOutcome | None = None
         self._succeeded_count = 0
         self._done_count = 0
@@ -107,9 +127,12 @@
         )
         margin_s = answer_margin_s + ANSWER_MARGIN_PER_SUB_REQUEST_S * len(services)
         self.goal_at = started_at + max(route.goal_s - margin_s, 0.0)
-        self._late_answer_at = self.goal_at + LATE_ANSWER_GOAL_FACTOR * route.goal_s
-        self._latency_estimator = shared.get_latency_estimator(route)
         self._required_count = route.count_required_replies(len(self.sub_requests))
+        if terms is not None:
+            self.goal_at = started_at + terms.goal_s
+            self._required_count = min(terms.min_parts, len(self.sub_requests))
+        self.late_answer_at = self.goal_at + LATE_ANSWER_GOAL_FACTOR * route.goal_s
+        self._latency_estimator = shared.get_latency_estimator(route)
         self._last_chance_hedge_at = -math.inf
         self._timer = None
         configuration = shared.view.configuration
@@ -126,16 +149,141 @@
             LAST_CHANCE_HEDGE_LEAD_FACTOR * self._latency_estimator.expected_latency_s
         )
         self._last_chance_hedge_at = self.goal_at - lead_s
+        self._start_delegations(now)
+        self._start_first_attempts(
+            [s for s in self.sub_requests if not s.is_delegated and not s.attempts], now
+        )
+        self._finish_if_decided(self.loop.now())
+        if self.outcome is None:
+            self._set_timer(self.loop.now())
+
+    def _start_first_attempts(
+        self, sub_requests: Sequence[attempts.SubRequest], now: float
+    ) -> None:
         self.tools.retry_budget.record_requests(
-            tuple(sub_request.service for sub_request in self.sub_requests), now
+            tuple(sub_request.service for sub_request in sub_requests), now
         )
-        for sub_request in self.sub_requests:
-            if self.outcome is None:
+        for sub_request in sub_requests:
+            if self.outcome is None and not sub_request.is_done:
                 self._start_attempt(sub_request, "first", now)
+
+    # Delegation to aggregators.
+
+    def _start_delegations(self, now: float) -> None:
+        match self._mode:
+            case delegation.Mode.WHOLE_QUERY:
+                groups = delegation.plan_whole_query(self.tools, self.sub_requests, now)
+            case delegation.Mode.OTHER_ZONES:
+                groups = []
+            case delegation.Mode.NOTHING:
+                return
+        may_delegate = bool(groups)
+        if not groups:
+            groups = delegation.plan_other_zones(
+                self.tools, self._list_in_other_zones(now), now
+            )
+        optional = len(self.sub_requests) - self._required_count
+        for group in groups:
+            min_parts = len(group.sub_requests) - optional // len(groups)
+            self._start_delegation(group, max(min_parts, 1), may_delegate)
+
+    def _start_delegation(
+        self, group: delegation.Group, min_parts: int, may_delegate: bool
+    ) -> None:
+        for sub_request in group.sub_requests:
+            sub_request.is_delegated = True
+        started = delegation.Delegation(
+            self, self.tools, group, min_parts, may_delegate
+        )
+        self._delegations.append(started)
+        started.start()
+
+    def _list_in_other_zones(
+        self, now: float
+    ) -> list[tuple[attempts.SubRequest, set[names.ZoneName]]]:
+        """Return the sub-requests that no replica of the own zone should take.
+
+        Each comes with the zones that have a replica for it.
+        """
+        listed = []
+        for sub_request in self.sub_requests:
+            best = self._select_replica(sub_request, now)
+            if best is None or best.registration.zone == self.tools.zone:
+                continue
+            zones = {
+                replica.registration.zone
+                for replica in self.tools.view.list_ready(sub_request.service)
+                if replica.is_available(now)
+            }
+            listed.append((sub_request, zones - {self.tools.zone}))
+        return listed
+
+    def handle_delegation_end(self, ended: delegation.Delegation) -> None:
+        """Take the parts of an aggregator's answer, or replace the delegation."""
+        if self.outcome is not None:
+            return
+        now = self.loop.now()
+        for sub_request in ended.sub_requests:
+            sub_request.is_delegated = False
+        match ended.outcome:
+            case delegation.Outcome.ANSWERED:
+                self._take_answer(ended)
+            case delegation.Outcome.REFUSED | delegation.Outcome.UNSENT:
+                self._start_first_attempts(ended.sub_requests, now)
+            case delegation.Outcome.UNCONFIRMED if not ended.may_have_executed():
+                self._start_first_attempts(ended.sub_requests, now)
+            case delegation.Outcome.UNCONFIRMED:
+                self._replace_unconfirmed(ended, now)
+            case _:
+                self._fail_delegated(ended)
         self._finish_if_decided(self.loop.now())
-        if self.outcome is None:
+        if self.outcome is None and self._timer is not None:
+            # Hedges of attempts that were just started may be due sooner.
+            self._timer.cancel()
             self._set_timer(self.loop.now())
 
+    def _take_answer(self, ended: delegation.Delegation) -> None:
+        for sub_request in ended.sub_requests:
+            if sub_request.index in ended.answer.shards:
+                sub_request.is_in_answer = True
+                self._succeeded_count += 1
+            else:
+                sub_request.lost_delegations += 1
+            self._mark_done(sub_request)
+
+    def _replace_unconfirmed(self, ended: delegation.Delegation, now: float) -> None:
+        """Send extra attempts, as the aggregator may have sent the first ones."""
+        waited_s = now - ended.started_at
+        for sub_request in ended.sub_requests:
+            sub_request.lost_delegations += 1
+            if self.outcome is None and not self._send_extra_attempt(
+                sub_request, ended.outcome.value, waited_s, now
+            ):
+                self._mark_done(sub_request)
+
+    def _fail_delegated(self, ended: delegation.Delegation) -> None:
+        """Give up sub-requests for which the aggregator may have sent all attempts."""
+        for sub_request in ended.sub_requests:
+            sub_request.lost_delegations += 1
+            self._mark_done(sub_request)
+
+    def collect_parts(self) -> Parts:
+        """Return the parts that were received, for the answer."""
+        direct = [s for s in self.sub_requests if s.reply is not None]
+        answers = [d.answer for d in self._delegations if d.answer is not None]
+        return Parts(
+            signatures=[
+                *(s.reply.signature for s in direct),
+                *itertools.chain.from_iterable(a.signatures for a in answers),
+            ],
+            bodies=[*(s.reply.body for s in direct), *(a.body for a in answers)],
+            shards=[s.index for s in self.sub_requests if s.has_part],
+        )
+
+    def count_parts(self) -> int:
+        """Return how many parts were received."""
+        return sum(sub_request.has_part for sub_request in self.sub_requests)
+
     # Sending attempts.
 
     def _start_attempt(
@@ -180,7 +328,7 @@
         If no further replica is allowed or left, one that refused once may be retried.
         """
         view = self.tools.view
-        if len(sub_request.list_attempted_replicas()) >= self.route.max_attempts:
+        if sub_request.count_attempted_replicas() >= self.route.max_attempts:
             return self._select_among(sub_request.list_replicas_to_retry(), now)
         tried = [attempt.replica for attempt in sub_request.attempts]
         ready = view.list_ready(sub_request.service)
@@ -345,8 +493,8 @@
         due_at = min(self._compute_next_hedge_check_at(now), self.deadline_at)
         if now < self.goal_at:
             due_at = min(due_at, self.goal_at)
-        elif now < self._late_answer_at:
-            due_at = min(due_at, self._late_answer_at)
+        elif now < self.late_answer_at:
+            due_at = min(due_at, self.late_answer_at)
         delay_s = max(due_at - now, 0.0)
         self._timer = self.loop.call_later(delay_s, self._handle_timer)
 
@@ -372,7 +520,8 @@
             sub_request
             for sub_request in self.sub_requests
             if not sub_request.is_done
-            and len(sub_request.list_attempted_replicas()) < self.route.max_attempts
+            and sub_request.attempts
+            and sub_request.count_attempted_replicas() < self.route.max_attempts
         ]
 
     def _handle_timer(self) -> None:
@@ -431,9 +580,9 @@
 
         A request with enough parts is answered within `ANSWER_DELIVERY_MARGIN_S` after
         `goal_at`. One that gets enough parts only later waits for the rest until
-        `_late_answer_at`.
+        `late_answer_at`.
         """
-        if now >= self._late_answer_at:
+        if now >= self.late_answer_at:
             return True
         return self.goal_at <= now < self.goal_at + ANSWER_DELIVERY_MARGIN_S
 
@@ -443,7 +592,10 @@
         tried = itertools.chain.from_iterable(
             sub_request.attempts for sub_request in self.sub_requests
         )
-        if any(attempt.may_have_executed() for attempt in tried):
+        if any(attempt.may_have_executed() for attempt in tried) or any(
+            sub_request.lost_delegations or sub_request.is_in_answer
+            for sub_request in self.sub_requests
+        ):
             return RequestOutcome.INDETERMINATE
         return RequestOutcome.NOT_EXECUTED
 
@@ -463,6 +615,7 @@
             if attempt.ended_at is None
         ]
         self._withdraw_unsent(pending)
+        self._end_delegations(outcome)
         sent = [attempt for attempt in pending if attempt.sent_at is not None]
         self._record_overdue_attempts(pending)
         if (
@@ -480,6 +633,14 @@
             self.loop.call_later(read_timeout_s, self._cancel_unanswered, sent)
         self._on_finished(outcome)
 
+    def _end_delegations(self, outcome: RequestOutcome) -> None:
+        """Cancel open delegations, at once if the caller is gone."""
+        is_caller_gone = outcome is RequestOutcome.CALLER_DISCONNECTED
+        delay_s = 0.0 if is_caller_gone else LATE_REPLY_TIMEOUT_S
+        for started in self._delegations:
+            if started.outcome is None:
+                self.loop.call_later(delay_s, started.cancel)
+
     def _withdraw_unsent(self, candidates: Iterable[attempts.Attempt]) -> None:
         """Cancel the attempts that were not sent."""
         for attempt in candidates:
--- /dev/null
+++ b/corianderrill/gateway/delegation.py
@@ -0,0 +1,299 @@
+"""Delegation of sub-requests of a query to aggregators, and the choice of what to send.
+
+A host that is asked rarely delegates a whole query to an aggregator of its zone. A host
+that sends sub-requests itself delegates those whose best replica is in another zone to
+an aggregator there, which merges the parts before they cross between zones.
+"""
+
+import dataclasses
+import enum
+import itertools
+from collections.abc import Callable, Collection, Sequence
+from typing import Protocol
+
+from corianderrill import names
+from corianderrill.gateway import (
+    aggregators,
+    attempts,
+    connections,
+    delegation_messages,
+    event_log,
+    pools,
+    routes,
+    send_queue,
+    shared_state,
+)
+from corianderrill.platform import requests
+
+# At this rate, in queries per second, a host's own connections stay open and its own
+# observations fresh.
+MIN_DIRECT_QUERIES_PER_S = 3.0
+# An aggregator that has not confirmed a query after this share of its goal is taken for
+# failed.
+CONFIRMATION_GOAL_SHARE = 0.25
+# The aggregator's answer is wanted this long before the goal of the host that waits.
+ANSWER_MARGIN_S = 0.004
+# A confirmed query whose answer is this late is given up.
+OVERDUE_S = 0.05
+# A delegation costs about as much as this many sub-requests.
+MIN_DELEGATED_SHARDS = 2
+
+
+class Mode(enum.Enum):
+    """What a host may delegate of a query."""
+
+    NOTHING = 1
+    OTHER_ZONES = 2
+    WHOLE_QUERY = 3
+
+
+class Outcome(enum.Enum):
+    """How a delegation ended; the values are written to the log."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNSENT = "unsent"
+    UNCONFIRMED = "unconfirmed"
+    FAILED = "failed"
+    OVERDUE = "overdue"
+    CANCELED = "canceled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """Sub-requests that go to one aggregator."""
+
+    aggregator: aggregators.Aggregator
+    sub_requests: tuple[attempts.SubRequest, ...]
+
+
+class Owner(Protocol):
+    """The coordinator of the query."""
+
+    request: requests.InboundRequest
+    route: routes.Route
+    version: routes.ConfigurationVersion
+    goal_at: float
+    late_answer_at: float
+    deadline_at: float
+
+    def handle_delegation_end(self, delegation: "Delegation") -> None:
+        """Process the answer of an aggregator, or the lack of one."""
+
+
+class Delegation:
+    """One query to an aggregator, with its outcome."""
+
+    idempotent = True
+
+    def __init__(
+        self,
+        owner: Owner,
+        shared: shared_state.SharedState,
+        group: Group,
+        min_parts: int,
+        may_delegate: bool,
+    ) -> None:
+        self._owner = owner
+        self._shared = shared
+        self.aggregator = group.aggregator
+        self.sub_requests = group.sub_requests
+        self._min_parts = min_parts
+        self._may_delegate = may_delegate
+        self._connection: connections.Connection | None = None
+        self._pool: pools.ConnectionPool | None = None
+        self._timer = None
+        self._is_confirmed = False
+        self._was_sent = False
+        self.started_at = shared.loop.now()
+        self.outcome: Outcome | None = None
+        self.answer: delegation_messages.Answer | None = None
+
+    def start(self) -> None:
+        """Send the query; the outcome may be decided before this returns."""
+        timeout_s = CONFIRMATION_GOAL_SHARE * self._owner.route.goal_s
+        self._timer = self._shared.loop.call_later(timeout_s, self._handle_timer)
+        self._pool = self._shared.get_aggregator_pool(self.aggregator.address)
+        connection = self._pool.send(self)
+        if self._connection is None:
+            self._connection = connection
+
+    def may_have_executed(self) -> bool:
+        """Return whether a replica may have got a sub-request from the aggregator."""
+        return self._was_sent and self.outcome is not Outcome.REFUSED
+
+    # Callbacks of the connection.
+
+    def get_urgency(self, now: float) -> send_queue.Urgency:
+        """Return the rank among the queries queued for the same aggregator."""
+        return send_queue.Urgency(now >= self._owner.goal_at, self._owner.goal_at)
+
+    def render(self) -> bytes:
+        """Return the bytes of the query, with its remaining times."""
+        now = self._shared.loop.now()
+        terms = delegation_messages.Terms(
+            version=self._owner.version,
+            shards=tuple(sub_request.index for sub_request in self.sub_requests),
+            min_parts=self._min_parts,
+            goal_s=self._owner.goal_at - ANSWER_MARGIN_S - now,
+            may_delegate=self._may_delegate,
+        )
+        remaining_s = max(self._owner.deadline_at - now, 0.001)
+        return delegation_messages.render_query(self._owner.request, terms, remaining_s)
+
+    def on_send_start(self) -> None:
+        """Record that the aggregator may get the query."""
+        self._was_sent = True
+
+    def attach(self, connection: connections.Connection) -> None:
+        """Assign a connection to a query that was queued for one."""
+        self._connection = connection
+
+    def on_interim_reply(self) -> None:
+        """Wait for the answer, now that the aggregator has confirmed the query."""
+        if self.outcome is not None or self._is_confirmed:
+            return
+        self._is_confirmed = True
+        self._timer.cancel()
+        delay_s = self._owner.late_answer_at + OVERDUE_S - self._shared.loop.now()
+        self._timer = self._shared.loop.call_later(
+            max(delay_s, 0.0), self._handle_timer
+        )
+
+    def on_result(
+        self, result: connections.RawReply | connections.FailedExchange
+    ) -> None:
+        """Process the reply of the aggregator, or the reason why there is none."""
+        if self.outcome is None:
+            self._conclude(self._evaluate(result))
+
+    def _evaluate(
+        self, result: connections.RawReply | connections.FailedExchange
+    ) -> Outcome:
+        match result:
+            case connections.FailedExchange(sent=False):
+                return Outcome.UNSENT
+            case connections.FailedExchange():
+                return Outcome.FAILED
+        if delegation_messages.is_refusal(result):
+            return Outcome.REFUSED
+        try:
+            self.answer = delegation_messages.parse_answer(
+                result,
+                self._owner.request.id,
+                [sub_request.index for sub_request in self.sub_requests],
+                self._owner.route.target.top_k,
+            )
+        except delegation_messages.MessageError:
+            # The log line of the delegation tells that it failed.
+            return Outcome.FAILED
+        return Outcome.ANSWERED
+
+    def _handle_timer(self) -> None:
+        if self.outcome is None:
+            self._close()
+            self._conclude(
+                Outcome.OVERDUE if self._is_confirmed else Outcome.UNCONFIRMED
+            )
+
+    def _conclude(self, outcome: Outcome) -> None:
+        self._end(outcome)
+        if outcome is Outcome.ANSWERED:
+            self._shared.aggregators.record_success(self.aggregator)
+        else:
+            now = self._shared.loop.now()
+            self._shared.aggregators.record_failure(self.aggregator, now)
+        self._owner.handle_delegation_end(self)
+
+    def cancel(self) -> None:
+        """End the query without an outcome for the owner; the aggregator stops too."""
+        if self.outcome is None:
+            self._close()
+            self._end(Outcome.CANCELED)
+
+    def _end(self, outcome: Outcome) -> None:
+        self.outcome = outcome
+        if self._timer is not None:
+            self._timer.cancel()
+        took_s = self._shared.loop.now() - self.started_at
+        self._shared.log.record(
+            event_log.QueryDelegated(
+                request_id=self._owner.request.id,
+                host=self.aggregator.host,
+                zone=self.aggregator.key.zone,
+                shards=len(self.sub_requests),
+                parts=0 if self.answer is None else len(self.answer.shards),
+                outcome=outcome.value,
+                took_ms=round(1000 * took_s, 1),
+            )
+        )
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.abort(self)
+        elif self._pool is not None:
+            self._pool.cancel_queued(self)
+
+
+def select_mode(
+    shared: shared_state.SharedState, route: routes.Route, now: float
+) -> Mode:
+    """Return what this host delegates of a query on a route."""
+    if not isinstance(route.target, routes.ScatterGather):
+        return Mode.NOTHING
+    if not shared.aggregators.list_keys():
+        return Mode.NOTHING
+    if shared.aggregators.is_aggregator():
+        return Mode.OTHER_ZONES
+    if shared.query_rate.estimate_per_s(now) >= MIN_DIRECT_QUERIES_PER_S:
+        return Mode.OTHER_ZONES
+    return Mode.WHOLE_QUERY
+
+
+def plan_whole_query(
+    shared: shared_state.SharedState,
+    sub_requests: Sequence[attempts.SubRequest],
+    now: float,
+) -> list[Group]:
+    """Return one group for an aggregator of the own zone; none if there is none."""
+    aggregator = shared.aggregators.select(shared.zone, now, shared.rng)
+    return [] if aggregator is None else [Group(aggregator, tuple(sub_requests))]
+
+
+def plan_other_zones(
+    shared: shared_state.SharedState,
+    zones_by_sub_request: Sequence[
+        tuple[attempts.SubRequest, Collection[names.ZoneName]]
+    ],
+    now: float,
+) -> list[Group]:
+    """Return groups for aggregators of other zones.
+
+    Each sub-request comes with the zones whose replicas can take it. The zone that can
+    take most of those left over gets them, then the next one.
+    """
+    left = dict(zones_by_sub_request)
+    reachable = {
+        zone
+        for zone in set(itertools.chain.from_iterable(left.values()))
+        if zone != shared.zone and not shared.zone_detector.is_suspect(zone, now)
+    }
+    groups = []
+    while reachable:
+        zone = max(reachable, key=_count_in(left))
+        reachable.discard(zone)
+        members = tuple(s for s, zones in left.items() if zone in zones)
+        if len(members) < MIN_DELEGATED_SHARDS:
+            break
+        aggregator = shared.aggregators.select(zone, now, shared.rng)
+        if aggregator is None:
+            continue
+        groups.append(Group(aggregator, members))
+        left = {s: zones for s, zones in left.items() if zone not in zones}
+    return groups
+
+
+def _count_in(
+    left: dict[attempts.SubRequest, Collection[names.ZoneName]],
+) -> Callable[[names.ZoneName], int]:
+    return lambda zone: sum(zone in zones for zones in left.values())
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -104,6 +104,50 @@
     outcome: str
 
 
+class AggregatorSeen(msgspec.Struct, tag="aggregator", tag_field="event"):
+    """A change of who holds an aggregator slot was read; `holder` is empty if none."""
+
+    zone: str
+    slot: int
+    holder: str
+    revision: int
+
+
+class AggregatorRoleChanged(msgspec.Struct, tag="aggregator-role", tag_field="event"):
+    """The host took, lost or gave up an aggregator slot."""
+
+    change: str
+    zone: str
+    slot: int
+    reason: str
+
+
+class QueryDelegated(msgspec.Struct, tag="delegated", tag_field="event"):
+    """Sub-requests of a query were handed to another host.
+
+    `shards` counts them, `parts` those that its answer holds; `outcome` tells how the
+    delegation ended, `took_ms` after which time.
+    """
+
+    request_id: str
+    host: str
+    zone: str
+    shards: int
+    parts: int
+    outcome: str
+    took_ms: float
+
+
+class DelegatedQueryEnded(msgspec.Struct, tag="answered-for", tag_field="event"):
+    """A query that another host delegated to this one was answered or refused."""
+
+    request_id: str
+    shards: int
+    parts: int
+    outcome: str
+    took_ms: float
+
+
 class ZoneSuspected(msgspec.Struct, tag="zone-suspected", tag_field="event"):
     """An availability zone is suspected to be unreachable; others are preferred.
 
@@ -226,6 +270,10 @@
     | HistoryLost
     | ConfigurationSeen
     | ReplicaSeen
+    | AggregatorSeen
+    | AggregatorRoleChanged
+    | QueryDelegated
+    | DelegatedQueryEnded
     | ZoneSuspected
     | EntrySkipped
     | RequestEnded
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -11,12 +11,16 @@
 import eventlet
 from eventlet import event, wsgi
 
-from corianderrill import context, metrics, status
+from corianderrill import context, metrics, names, status
 from corianderrill.gateway import (
+    aggregator_app,
+    aggregator_role,
+    aggregators,
     caller_connections,
     event_log,
     loop,
     pools,
+    query_rate,
     retry_budget,
     scrape,
     shared_state,
@@ -85,13 +89,31 @@
             loop=loop.EventletLoop(),
             rng=rng,
             zone_detector=zone_health.ZoneFailureDetector(),
+            aggregators=aggregators.AggregatorDirectory(host_settings.host),
+            query_rate=query_rate.QueryRate(),
         )
         self._app = wsgi_app.GatewayApp(self._shared)
+        self._aggregator_app = aggregator_app.AggregatorApp(self._shared)
         self._store_client = store.StoreClient(host_settings.store_address)
         self._store_watcher = store_watcher.StoreWatcher(
-            self._store_client, self._view, self._pools, self.log, rng
+            self._store_client,
+            self._view,
+            self._pools,
+            self._shared.aggregators,
+            self.log,
+            rng,
         )
         self._store_probe = store_probe.StoreProbe(self._store_watcher, rng)
+        self._aggregator_role = aggregator_role.AggregatorRole(
+            self._store_client,
+            self._shared.aggregators,
+            self._view,
+            host_settings.zone,
+            host_settings.aggregation_address,
+            host_settings.capacity_cores,
+            self.log,
+            rng,
+        )
         self._apply_bounds(host_settings.bounds)
         self._stopped = event.Event()
         self._is_shutting_down = False
@@ -100,6 +122,7 @@
         self._shared.retry_budget.apply_bounds(bounds.retry_ratio, bounds.retry_slack)
         host_count = retry_budget.estimate_host_count(bounds.retry_slack)
         self._pools.host_count = host_count
+        self._aggregator_role.host_count = host_count
         max_apply_delay_s = min(bounds.config_apply_s, bounds.drain_s)
         self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
         self._store_probe.set_interval(max_apply_delay_s)
@@ -137,6 +160,8 @@
         eventlet.spawn(_serve_internal, readiness_listener, self._respond_to_readiness)
         eventlet.spawn(_serve_internal, metrics_listener, self._respond_to_metrics)
         self._server = eventlet.spawn(self._serve_callers)
+        if host_settings.aggregation_address is not None:
+            self._listen_for_delegated_queries(host_settings.aggregation_address)
         self.log.record(
             event_log.Started(
                 host_settings.host,
@@ -151,10 +176,18 @@
         self._log_handler.flush()
         return status.ExitStatus.SUCCESS
 
+    def _listen_for_delegated_queries(self, address: names.Address) -> None:
+        listener = eventlet.listen((address.ip, address.port), backlog=LISTEN_BACKLOG)
+        eventlet.spawn(self._serve, listener, self._aggregator_app)
+        eventlet.spawn(self._aggregator_role.run)
+
     def _serve_callers(self) -> None:
+        self._serve(self._listener, self._app)
+
+    def _serve(self, listener: object, app: object) -> None:
         wsgi.server(
-            self._listener,
-            self._app,
+            listener,
+            app,
             log=caller_connections.ServerLog(self.log),
             log_output=False,
             debug=False,
@@ -227,6 +260,8 @@
         started_at = time.monotonic()
         self.log.record(event_log.Stopping(signal_name, self._app.in_flight))
         self._app.is_shutting_down = True
+        self._aggregator_app.is_shutting_down = True
+        eventlet.spawn(self._aggregator_role.retire)
         eventlet.sleep(SHUTDOWN_ANNOUNCE_S)
         # Stops the accept loop. The WSGI server then closes idle connections and waits
         # for those that still serve a request.
@@ -235,15 +270,18 @@
         # New connections are now refused at once instead of waiting in the backlog.
         self._listener.close()
         grace_s = self._host_settings.bounds.grace_s - SHUTDOWN_GRACE_MARGIN_S
-        while self._app.in_flight and time.monotonic() - started_at < grace_s:
+        while self._count_in_flight() and time.monotonic() - started_at < grace_s:
             eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
         # Leaves time to send the last responses.
         eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
-        unanswered = self._app.in_flight
+        unanswered = self._count_in_flight()
         ending = "grace-over" if unanswered else "finished"
         self.log.record(event_log.Stopped(ending, unanswered))
         self._stopped.send(None)
 
+    def _count_in_flight(self) -> int:
+        return self._app.in_flight + self._aggregator_app.in_flight
+
     # Readiness and metrics.
 
     def _is_ready(self) -> bool:
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -5,16 +5,20 @@
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
+    aggregators,
     event_log,
     latency,
     loop,
     pools,
+    query_rate,
     retry_budget,
     routes,
     view,
     zone_health,
 )
 
+MAX_AGGREGATOR_CONNECTIONS = 16
+
 
 @dataclasses.dataclass(slots=True)
 class SharedState:
@@ -29,10 +33,24 @@
     loop: loop.Loop
     rng: random.Random
     zone_detector: zone_health.ZoneFailureDetector
+    aggregators: aggregators.AggregatorDirectory
+    query_rate: query_rate.QueryRate
+    aggregator_pools: dict[names.Address, pools.ConnectionPool] = dataclasses.field(
+        default_factory=dict
+    )
     latency_by_route: dict[routes.RouteName, latency.LatencyEstimator] = (
         dataclasses.field(default_factory=dict)
     )
 
+    def get_aggregator_pool(self, address: names.Address) -> pools.ConnectionPool:
+        """Return the pool of connections to an aggregator."""
+        pool = self.aggregator_pools.get(address)
+        if pool is None:
+            pool = self.aggregator_pools[address] = pools.ConnectionPool(
+                address, MAX_AGGREGATOR_CONNECTIONS
+            )
+        return pool
+
     def get_latency_estimator(self, route: routes.Route) -> latency.LatencyEstimator:
         """Return the latency estimator of a route.
 
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -13,7 +13,7 @@
 import eventlet
 from eventlet import greenthread
 
-from corianderrill.gateway import event_log, pools, view
+from corianderrill.gateway import aggregators, event_log, pools, view
 from corianderrill.platform import documents, store
 
 WATCH_WAIT_S = 25.0
@@ -48,6 +48,7 @@
     client: store.StoreClient
     view: view.View
     pools: pools.PoolManager
+    aggregators: aggregators.AggregatorDirectory
     log: event_log.EventLog
     rng: random.Random
     batch_delay_s: float = 0.5
@@ -117,6 +118,10 @@
         }
         for replica_id in self.view.list_replica_ids() - listed_ids:
             self._remove_replica(replica_id, oldest_revision, now)
+        listed_keys = {item.key for item in items}
+        for key in self.aggregators.list_keys():
+            if documents.format_aggregator_key(key) not in listed_keys:
+                self.aggregators.apply(key, None, oldest_revision)
         self.revision = oldest_revision
         self._retain_pools()
 
@@ -203,6 +208,29 @@
                 self._apply_configuration(item)
             elif item.key.startswith(documents.SERVER_KEY_PREFIX):
                 self._apply_registration_item(item, now)
+            elif item.key.startswith(documents.AGGREGATOR_KEY_PREFIX):
+                self._apply_aggregator_item(item)
+
+    def _apply_aggregator_item(self, item: store.Item) -> None:
+        try:
+            key = documents.parse_aggregator_key(item.key)
+            holder = (
+                None
+                if item.value is None
+                else documents.decode_aggregator(item.key, item.value)
+            )
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        if self.aggregators.apply(key, holder, item.revision):
+            self.log.record(
+                event_log.AggregatorSeen(
+                    key.zone,
+                    key.slot,
+                    "" if holder is None else holder.host,
+                    item.revision,
+                )
+            )
 
     def _apply_configuration(self, item: store.Item) -> None:
         if item.value is None:
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -11,6 +11,7 @@
 from corianderrill.gateway import (
     caller_connections,
     coordinator,
+    delegation,
     event_log,
     replicas,
     replies,
@@ -197,6 +198,8 @@
         reason = self._find_refusal_reason(route, services, inbound.received_at)
         if reason is not None:
             return self._refuse(inbound.id, route.name, 503, reason, MIN_RETRY_AFTER_S)
+        if isinstance(route.target, routes.ScatterGather):
+            self._shared.query_rate.record(inbound.received_at)
         connection = environ["corianderrill.connection"]
         margin_s = coordinator.ANSWER_DELIVERY_MARGIN_S
         if connection.requests_served == 0:
@@ -204,7 +207,13 @@
         connection.requests_served += 1
         outcome_event = event.Event()
         request_coordinator = coordinator.RequestCoordinator(
-            self._shared, inbound, route, services, outcome_event.send, margin_s
+            self._shared,
+            inbound,
+            route,
+            services,
+            outcome_event.send,
+            margin_s,
+            delegation.select_mode(self._shared, route, inbound.received_at),
         )
         disconnect_watcher = caller_connections.DisconnectWatcher(
             environ["eventlet.input"].get_socket(),
@@ -296,19 +305,14 @@
     ) -> Response:
         match request_coordinator.route.target:
             case routes.ScatterGather(top_k=top_k):
-                received_replies = [
-                    sub_request.reply
-                    for sub_request in request_coordinator.sub_requests
-                    if sub_request.reply is not None
-                ]
+                parts = request_coordinator.collect_parts()
                 headers = requests.list_gather_headers(
                     request_coordinator.request.id,
-                    [reply.signature for reply in received_replies],
-                    len(request_coordinator.sub_requests) - len(received_replies),
+                    parts.signatures,
+                    len(request_coordinator.sub_requests) - len(parts.shards),
                 )
-                bodies = (reply.body for reply in received_replies)
                 return Response(
-                    200, headers, top_records.merge_top_records(bodies, top_k)
+                    200, headers, top_records.merge_top_records(parts.bodies, top_k)
                 )
             case _:
                 return _convert_reply(request_coordinator.sub_requests[0].reply)
@@ -360,10 +364,8 @@
     ) -> None:
         now = self._shared.loop.now()
         duration_s = now - request_coordinator.request.received_at
-        missing_count = sum(
-            sub_request.reply is None
-            for sub_request in request_coordinator.sub_requests
-        )
+        part_count = request_coordinator.count_parts()
+        missing_count = len(request_coordinator.sub_requests) - part_count
         self._count_request(
             request_coordinator.route.name, outcome, duration_s, missing_count
         )
@@ -381,10 +383,7 @@
                 took_ms=round(1000 * duration_s, 1),
                 goal_ms=round(1000 * request_coordinator.route.goal_s, 1),
                 left_ms=round(1000 * (request_coordinator.deadline_at - now), 1),
-                parts=sum(
-                    sub_request.reply is not None
-                    for sub_request in request_coordinator.sub_requests
-                ),
+                parts=part_count,
                 missing=missing_count,
                 repeats=request_coordinator.extra_attempts,
                 denied=request_coordinator.denied_extra_attempts,
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -8,11 +8,12 @@
 import msgspec
 
 from corianderrill import names
-from corianderrill.gateway import replicas, routes
+from corianderrill.gateway import aggregators, replicas, routes
 from corianderrill.platform import settings
 
 CONFIGURATION_KEY = "op/config"
 SERVER_KEY_PREFIX = "servers/"
+AGGREGATOR_KEY_PREFIX = "aggregators/"
 # HTTP/1.1; services with another protocol are ignored.
 _SUPPORTED_PROTOCOL = "h1"
 
@@ -82,6 +83,12 @@
     born: int | None = None
 
 
+class _WireAggregator(msgspec.Struct):
+    host: str
+    address: str
+
+
+_AGGREGATOR_DECODER = msgspec.json.Decoder(_WireAggregator)
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_WireConfiguration)
 _SERVER_DECODER = msgspec.json.Decoder(_WireServer)
 
@@ -146,6 +153,47 @@
     raise DocumentError(f"route {route.name}: no service, split or gather given")
 
 
+def format_aggregator_prefix(zone: names.ZoneName) -> str:
+    """Return the prefix of the keys of a zone's aggregator slots."""
+    return f"{AGGREGATOR_KEY_PREFIX}{zone}/"
+
+
+def format_aggregator_key(key: aggregators.SlotKey) -> str:
+    """Return the store's key of an aggregator slot."""
+    return f"{format_aggregator_prefix(key.zone)}{key.slot}"
+
+
+def parse_aggregator_key(key: str) -> aggregators.SlotKey:
+    """Return the slot that a key names. Raise DocumentError if it names none."""
+    zone, _, slot = key.removeprefix(AGGREGATOR_KEY_PREFIX).rpartition("/")
+    if not zone or not slot.isdigit():
+        raise DocumentError(f"expected a zone and a slot in the key {key!r}")
+    return aggregators.SlotKey(names.ZoneName(zone), aggregators.Slot(int(slot)))
+
+
+def encode_aggregator(aggregator: aggregators.Aggregator) -> bytes:
+    """Return the value of the key of the slot that an aggregator holds."""
+    return msgspec.json.encode(
+        _WireAggregator(aggregator.host, str(aggregator.address))
+    )
+
+
+def decode_aggregator(key: str, value: bytes) -> aggregators.Aggregator:
+    """Decode the holder of a slot. Raise DocumentError if it is invalid."""
+    try:
+        document = _AGGREGATOR_DECODER.decode(value)
+        address = settings.parse_address(document.address)
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        settings.SettingsError,
+    ) as error:
+        raise DocumentError(str(error)) from error
+    return aggregators.Aggregator(
+        parse_aggregator_key(key), names.HostName(document.host), address
+    )
+
+
 def parse_replica_id(key: str) -> replicas.InstanceId:
     """Return the replica ID in the key of an entry."""
     return replicas.InstanceId(key.removeprefix(SERVER_KEY_PREFIX))
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -31,6 +31,8 @@
         *("proxy-authorization", "content-length", "expect"),
     )
 )
+# Tells the sender of a request that it was not executed.
+NOT_EXECUTED_HEADER = ("X-Not-Executed", "1")
 # Replaced on a sub-request by values of the gateway.
 _OVERWRITTEN_HEADERS = frozenset(
     (DEADLINE_MS_HEADER.lower(), EXPECT_INSTANCE_HEADER.lower())
@@ -139,6 +141,11 @@
     )
 
 
+def says_not_executed(raw: connections.RawReply) -> bool:
+    """Return whether a reply says that the request was not executed."""
+    return _NOT_EXECUTED_REPLY_HEADER in dict(raw.headers)
+
+
 def list_reply_headers(reply: replies.Reply) -> list[tuple[str, str]]:
     """Return the headers of a replica's reply that are forwarded to the caller."""
     return [
--- a/corianderrill/platform/settings.py
+++ b/corianderrill/platform/settings.py
@@ -39,7 +39,9 @@
 class HostSettings:
     """The settings of one process; it reads them at its start and when they change.
 
-    `listen_address` is where callers send their requests.
+    `listen_address` is where callers send their requests, `aggregation_address` where
+    other hosts send queries; it is None if the platform leaves no port for that.
+    `capacity_cores` is the processor time that the host has, in cores.
     """
 
     host: names.HostName
@@ -49,6 +51,8 @@
     metrics_address: names.Address
     store_address: names.Address
     bounds: Bounds
+    aggregation_address: names.Address | None
+    capacity_cores: float
 
 
 def find_settings_path() -> str:
@@ -84,9 +88,28 @@
             retry_ratio=_get_field(document, "bounds.retry_ratio", float),
             retry_slack=_get_field(document, "bounds.retry_slack", float),
         ),
+        aggregation_address=_find_aggregation_address(document, listen_address.ip),
+        capacity_cores=_find_capacity_cores(document),
     )
 
 
+def _find_aggregation_address(
+    document: Mapping[str, Any], ip: str
+) -> names.Address | None:
+    """Return the first of the ports that are free for traffic between hosts."""
+    if "port_range" not in document:
+        return None
+    first_port, *_ = _get_field(document, "port_range", list) or (0,)
+    return parse_address(f"{ip}:{first_port}")
+
+
+def _find_capacity_cores(document: Mapping[str, Any]) -> float:
+    if "limits" not in document:
+        return 0.0
+    share = _get_field(document, "limits.cpu_share", float)
+    return share * _get_field(document, "limits.cores", float)
+
+
 def _read_metrics_port() -> int:
     text = os.environ.get(METRICS_PORT_VARIABLE, str(DEFAULT_METRICS_PORT))
     # The name of the variable takes the place of the IP, so that an error shows it.
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import socket
+from collections.abc import Collection
 from typing import NewType
 
 import msgspec
@@ -17,6 +18,7 @@
 from corianderrill.gateway import view
 
 Key = NewType("Key", str)
+LeaseId = NewType("LeaseId", int)
 
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.6
@@ -87,6 +89,10 @@
     deleted: bool = False
 
 
+class _WireLease(msgspec.Struct):
+    lease: int
+
+
 class _WireRange(msgspec.Struct):
     items: list[_WireItem]
     # The store revision of the reply.
@@ -100,6 +106,7 @@
     at: int
 
 
+_LEASE_DECODER = msgspec.json.Decoder(_WireLease)
 _RANGE_DECODER = msgspec.json.Decoder(_WireRange)
 _WATCH_DECODER = msgspec.json.Decoder(_WireWatch)
 
@@ -145,6 +152,37 @@
         body = self._get("/api/kv-range", query, PROBE_TIMEOUT_S)
         return view.StoreRevision(self._decode(_RANGE_DECODER, body).at)
 
+    def list_keys(self, prefix: str) -> set[Key]:
+        """Return the keys with a prefix; the read may be seconds old."""
+        return {item.key for item in self.read_range(prefix, None, True).items}
+
+    def grant_lease(self, ttl_s: float) -> LeaseId:
+        """Return a new lease that ends after `ttl_s` unless it is renewed."""
+        body = self._call("POST", "/api/kv-lease", {"ttl_ms": round(1000 * ttl_s)})
+        return LeaseId(self._decode(_LEASE_DECODER, body).lease)
+
+    def keep_lease(self, lease: LeaseId) -> bool:
+        """Renew a lease; return False if it has ended."""
+        return self._call("POST", f"/api/kv-keep/{lease}", {}, (404,)) is not None
+
+    def end_lease(self, lease: LeaseId) -> None:
+        """End a lease and remove its keys; it may have ended before."""
+        self._call("DELETE", f"/api/kv-lease-end/{lease}", {}, (404,))
+
+    def create_key(self, key: Key, value: bytes, lease: LeaseId) -> bool:
+        """Write a key under a lease, unless it exists; return whether it was written.
+
+        After a StoreError it may have been written. It then goes with its lease.
+        """
+        document = {
+            "expected_rev": [{"key": key, "revision": 0}],
+            "writes": [
+                {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+            ],
+            "deletes": [],
+        }
+        return self._call("POST", "/api/kv-txn", document, (404, 412)) is not None
+
     def watch(self, prefix: str, after: view.StoreRevision, wait_s: float) -> Batch:
         """Wait up to `wait_s` for changes of keys with a prefix after a revision."""
         query = {
@@ -163,16 +201,45 @@
         self._pool.close()
 
     def _get(self, path: str, query: dict[str, str], timeout_s: float) -> bytes:
+        return self._request("GET", path, timeout_s, fields=query)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        document: dict[str, object],
+        negative_statuses: Collection[int] = (),
+    ) -> bytes | None:
+        """Send a document; return None if the status is one of `negative_statuses`."""
+        return self._request(
+            method,
+            path,
+            CALL_TIMEOUT_S,
+            negative_statuses,
+            body=msgspec.json.encode(document),
+            headers={"Content-Type": "application/json"},
+        )
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        negative_statuses: Collection[int] = (),
+        **content: object,
+    ) -> bytes | None:
         self.call_count += 1
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         try:
             reply = self._pool.request(
-                "GET", path, fields=query, timeout=timeout, redirect=False
+                method, path, timeout=timeout, redirect=False, **content
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(FailureKind.UNREACHABLE, type(error).__name__) from error
-        if reply.status == 200:
+        if reply.status in (200, 204):
             return reply.data
+        if reply.status in negative_statuses:
+            return None
         if reply.status == 410:
             raise StoreError(FailureKind.HISTORY_LOST, path)
         if reply.status in (429, 503):
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -77,7 +77,13 @@
         self.view = builders.build_view()
         rng = random.Random(1)
         self.watcher = store_watcher.StoreWatcher(
-            self.client, self.view, FakePools(), self.log, rng, batch_delay_s=0.0
+            self.client,
+            self.view,
+            FakePools(),
+            builders.build_aggregator_directory(),
+            self.log,
+            rng,
+            batch_delay_s=0.0,
         )
         self.probe = store_probe.StoreProbe(self.watcher, rng)
         self.probe.set_interval(APPLY_DELAY_S)
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -43,6 +43,7 @@
         FakeClient(*counts),
         builders.build_view(),
         FakePools(),
+        builders.build_aggregator_directory(),
         FakeLog(),
         random.Random(1),
     )
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -1,7 +1,7 @@
 """Builders of registrations, replicas, routes, configurations and views."""
 
 from corianderrill import names
-from corianderrill.gateway import replicas, routes, view
+from corianderrill.gateway import aggregators, replicas, routes, view
 
 DRAIN_FALLBACK_S = 1.2
 LAPSED_FALLBACK_S = 2.0
@@ -41,6 +41,10 @@
     )
 
 
+def build_aggregator_directory(host="front-1"):
+    return aggregators.AggregatorDirectory(names.HostName(host))
+
+
 def build_route(
     target=None,
     prefix="/a/",
--- a/tests/utils/scripted_servers.py
+++ b/tests/utils/scripted_servers.py
@@ -24,6 +24,7 @@
         self.request_bytes = request_bytes
         self.connection = None
         self.was_sent = False
+        self.interim_replies = 0
         self.result = eventlet.event.Event()
 
     def get_urgency(self, now):
@@ -35,6 +36,9 @@
     def on_send_start(self):
         self.was_sent = True
 
+    def on_interim_reply(self):
+        self.interim_replies += 1
+
     def attach(self, connection):
         self.connection = connection
 
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -16,6 +16,7 @@
     coordinator,
     event_log,
     pools,
+    query_rate,
     retry_budget,
     routes,
     send_queue,
@@ -312,6 +313,8 @@
             loop=self.loop,
             rng=self.rng,
             zone_detector=zone_health.ZoneFailureDetector(),
+            aggregators=builders.build_aggregator_directory(),
+            query_rate=query_rate.QueryRate(),
         )
         self.ended = []
         self.coordinators = []
