Let hosts watch an aggregator in place of the store, and gate its hedges

The wall clock of suspensions: a host that was suspended took what the store had said before for recent. Change: aggregators keep the changes they applied and answer watches and probes of the hosts of their zone in the store's format, while their own view is confirmed; a host turns to another aggregator or the store when one does not. An aggregator sends no second attempt until the other host can no longer give it up, and looks whether its connection is still open; hosts prefer the aggregator with the most processor time, and a small one takes fewer queries. All times of the gateway are read from a clock that counts suspensions.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -16,21 +16,33 @@
     top_records,
     wsgi_app,
 )
-from corianderrill.platform import requests
+from corianderrill.platform import requests, store, store_relay
 
 # More queries at once would make all of them late.
-MAX_IN_FLIGHT_QUERIES = 64
+MAX_IN_FLIGHT_QUERIES_PER_CORE = 24.0
+MIN_IN_FLIGHT_QUERIES = 4.0
 # Hosts may keep an idle connection for this long.
 KEEP_ALIVE_S = 30
 
+STORE_PATHS = (store.RANGE_PATH, store.WATCH_PATH)
+
 _REASON_PHRASES = {200: "OK", 502: "Bad Gateway", 503: "Service Unavailable"}
 
 
 class AggregatorApp:
     """Validates delegated queries, sends their sub-requests and merges the parts."""
 
-    def __init__(self, shared: shared_state.SharedState) -> None:
+    def __init__(
+        self,
+        shared: shared_state.SharedState,
+        relay: store_relay.StoreRelay,
+        capacity_cores: float,
+    ) -> None:
         self._shared = shared
+        self._max_in_flight = max(
+            MAX_IN_FLIGHT_QUERIES_PER_CORE * capacity_cores, MIN_IN_FLIGHT_QUERIES
+        )
+        self._relay = relay
         self.in_flight = 0
         self.is_shutting_down = False
 
@@ -45,12 +57,11 @@
     def __call__(
         self, environ: dict[str, object], start_response: wsgi_app.StartResponse
     ) -> Iterable[bytes]:
-        """Serve one delegated query (the WSGI entry point)."""
-        self.in_flight += 1
-        try:
-            response = self._serve(environ)
-        finally:
-            self.in_flight -= 1
+        """Serve one delegated query or call to the store (the WSGI entry point)."""
+        if environ["RAW_PATH_INFO"] in STORE_PATHS:
+            response = self._relay_call(environ)
+        else:
+            response = self._serve_counted(environ)
         if self.is_shutting_down:
             environ["corianderrill.connection"].close_connection = True
         headers = [
@@ -62,6 +73,21 @@
         start_response(f"{response.status} {phrase}", headers)
         return [response.body]
 
+    def _relay_call(self, environ: dict[str, object]) -> wsgi_app.Response:
+        body = self._relay.answer(
+            environ["RAW_PATH_INFO"], environ.get("QUERY_STRING") or ""
+        )
+        if body is None:
+            return wsgi_app.Response(503, [], b"")
+        return wsgi_app.Response(200, [("Content-Type", "application/json")], body)
+
+    def _serve_counted(self, environ: dict[str, object]) -> wsgi_app.Response:
+        self.in_flight += 1
+        try:
+            return self._serve(environ)
+        finally:
+            self.in_flight -= 1
+
     def _serve(self, environ: dict[str, object]) -> wsgi_app.Response:
         received_at = self._shared.loop.now()
         headers = environ["headers_raw"]
@@ -78,7 +104,7 @@
         route = configuration.find_route(host, path)
         if route is None or not _covers(route, terms.shards):
             return self._refuse(request_id, "no-route")
-        if self.is_shutting_down or self.in_flight > MAX_IN_FLIGHT_QUERIES:
+        if self.is_shutting_down or self.in_flight > self._max_in_flight:
             return self._refuse(request_id, "no-capacity")
         sock = environ["eventlet.input"].get_socket()
         if not _confirm(sock):
@@ -117,6 +143,7 @@
                 else delegation.Mode.NOTHING
             ),
             terms=terms,
+            is_caller_connected=lambda: _is_connected(sock),
         )
         watcher = caller_connections.DisconnectWatcher(
             sock, query.handle_caller_disconnect, delay_s=0.0
@@ -168,12 +195,7 @@
 
     A host that was paused may read a query whose sender has given it up meanwhile.
     """
-    try:
-        if sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
-            return False
-    except BlockingIOError:
-        pass
-    except OSError:
+    if not _is_connected(sock):
         return False
     try:
         sock.sendall(delegation_messages.CONFIRMATION)
@@ -182,6 +204,16 @@
     return True
 
 
+def _is_connected(sock: object) -> bool:
+    """Return whether the other end has not closed its connection."""
+    try:
+        return sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
 def _build_response(
     query: coordinator.RequestCoordinator, outcome: coordinator.RequestOutcome
 ) -> wsgi_app.Response:
--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -19,7 +19,7 @@
 MIN_HOSTS = 40.0
 # A host waits this long, divided by its processor capacity in cores, before it takes a
 # vacant slot. So the hosts with the most capacity come first.
-CANDIDACY_DELAY_CORES_S = 1.5
+CANDIDACY_DELAY_CORES_S = 6.0
 RETRY_DELAY_S = 3.0
 
 
@@ -95,7 +95,7 @@
             self.sleep(RETRY_DELAY_S)
             return
         candidate = aggregators.Aggregator(
-            vacant[0], self.directory.own_host, self.address
+            vacant[0], self.directory.own_host, self.address, self.capacity_cores
         )
         lease = self.client.grant_lease(LEASE_TTL_S)
         if not self.client.create_key(
--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -35,11 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Aggregator:
-    """A host that holds an aggregator slot, and its address for delegated queries."""
+    """A host that holds an aggregator slot, and its address for delegated queries.
+
+    `capacity_cores` is the processor time that it has, in cores.
+    """
 
     key: SlotKey
     host: names.HostName
     address: names.Address
+    capacity_cores: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +63,9 @@
     _holders: dict[SlotKey, Aggregator | None] = dataclasses.field(default_factory=dict)
     _revisions: dict[SlotKey, int] = dataclasses.field(default_factory=dict)
     _health: dict[names.Address, _Health] = dataclasses.field(default_factory=dict)
+    _relay_health: dict[names.Address, _Health] = dataclasses.field(
+        default_factory=dict
+    )
 
     def apply(self, key: SlotKey, holder: Aggregator | None, revision: int) -> bool:
         """Set who holds a slot; return False if a newer revision was applied before."""
@@ -68,6 +75,7 @@
         self._holders[key] = holder
         if holder is not None:
             self._health.pop(holder.address, None)
+            self._relay_health.pop(holder.address, None)
         return True
 
     def list_keys(self) -> set[SlotKey]:
@@ -89,20 +97,45 @@
     def select(
         self, zone: names.ZoneName, now: float, rng: random.Random
     ) -> Aggregator | None:
-        """Return an available aggregator of a zone other than this host, if any."""
-        available = [
+        """Return the available aggregator of a zone that has the most capacity.
+
+        Return a random one of equals, and None if there is none but this host.
+        """
+        available = self._list_available(zone, now, self._health)
+        if not available:
+            return None
+        most_cores = max(holder.capacity_cores for holder in available)
+        return rng.choice(
+            [holder for holder in available if holder.capacity_cores == most_cores]
+        )
+
+    def select_relay(
+        self, zone: names.ZoneName, now: float, rng: random.Random
+    ) -> Aggregator | None:
+        """Return an aggregator to watch in place of the store, if there is one.
+
+        An aggregator itself watches the store.
+        """
+        if self.is_aggregator():
+            return None
+        available = self._list_available(zone, now, self._relay_health)
+        return rng.choice(available) if available else None
+
+    def _list_available(
+        self,
+        zone: names.ZoneName,
+        now: float,
+        health_by_address: dict[names.Address, _Health],
+    ) -> list[Aggregator]:
+        return [
             holder
             for key, holder in self._holders.items()
             if key.zone == zone
             and holder is not None
             and holder.host != self.own_host
-            and self._is_available(holder, now)
+            and health_by_address.get(holder.address, _Health()).unavailable_until
+            <= now
         ]
-        return rng.choice(available) if available else None
-
-    def _is_available(self, aggregator: Aggregator, now: float) -> bool:
-        health = self._health.get(aggregator.address)
-        return health is None or now >= health.unavailable_until
 
     def record_success(self, aggregator: Aggregator) -> None:
         """Record an answer of an aggregator."""
@@ -110,9 +143,21 @@
 
     def record_failure(self, aggregator: Aggregator, now: float) -> None:
         """Record that an aggregator refused, failed or did not answer in time."""
-        health = self._health.setdefault(aggregator.address, _Health())
-        if now < health.unavailable_until:
-            return
-        backoff_s = BACKOFF_BASE_S * 2 ** min(health.consecutive_failures, 6)
-        health.consecutive_failures += 1
-        health.unavailable_until = now + min(backoff_s, MAX_BACKOFF_S)
+        _record_failure(self._health, aggregator.address, now)
+
+    def record_relay_failure(self, aggregator: Aggregator, now: float) -> None:
+        """Record that an aggregator does not answer in place of the store."""
+        _record_failure(self._relay_health, aggregator.address, now)
+
+
+def _record_failure(
+    health_by_address: dict[names.Address, _Health],
+    address: names.Address,
+    now: float,
+) -> None:
+    health = health_by_address.setdefault(address, _Health())
+    if now < health.unavailable_until:
+        return
+    backoff_s = BACKOFF_BASE_S * 2 ** min(health.consecutive_failures, 6)
+    health.consecutive_failures += 1
+    health.unavailable_until = now + min(backoff_s, MAX_BACKOFF_S)
--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -13,7 +13,6 @@
 import enum
 import errno
 import socket as stdlib_socket
-import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,7 +20,7 @@
 from eventlet import hubs, patcher
 
 from corianderrill import names
-from corianderrill.gateway import send_queue
+from corianderrill.gateway import loop, send_queue
 
 # The unpatched module: all socket calls below are non-blocking.
 socket = patcher.original("socket")
@@ -325,7 +324,7 @@
 
     def _become_idle(self) -> None:
         self._state = _State.IDLE
-        self.idle_since = time.monotonic()
+        self.idle_since = loop.read_clock()
         self._owner.release(self)
 
     def abort(self, request: OutboundRequest) -> None:
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -100,6 +100,7 @@
         answer_margin_s: float = ANSWER_DELIVERY_MARGIN_S,
         mode: delegation.Mode = delegation.Mode.NOTHING,
         terms: delegation_messages.Terms | None = None,
+        is_caller_connected: Callable[[], bool] = lambda: True,
     ) -> None:
         self.tools = shared
         self.loop = shared.loop
@@ -127,10 +128,13 @@
         )
         margin_s = answer_margin_s + ANSWER_MARGIN_PER_SUB_REQUEST_S * len(services)
         self.goal_at = started_at + max(route.goal_s - margin_s, 0.0)
+        self._repeat_from = started_at
+        self._is_caller_connected = is_caller_connected
         self._required_count = route.count_required_replies(len(self.sub_requests))
         if terms is not None:
             self.goal_at = started_at + terms.goal_s
             self._required_count = min(terms.min_parts, len(self.sub_requests))
+            self._repeat_from = started_at + terms.hedge_after_s
         self.late_answer_at = self.goal_at + LATE_ANSWER_GOAL_FACTOR * route.goal_s
         self._latency_estimator = shared.get_latency_estimator(route)
         self._last_chance_hedge_at = -math.inf
@@ -361,6 +365,8 @@
         self, sub_request: attempts.SubRequest, reason: str, waited_s: float, now: float
     ) -> bool:
         """Send a retry or hedge if route, retry budget and replicas allow it."""
+        if not self._may_repeat(sub_request, now):
+            return False
         replica = self._select_replica(sub_request, now)
         if replica is None:
             return False
@@ -386,6 +392,16 @@
         )
         return True
 
+    def _may_repeat(self, sub_request: attempts.SubRequest, now: float) -> bool:
+        """Return whether no other host may have sent attempts in place of this one.
+
+        A host that delegates a query and hears nothing sends its own attempts. What a
+        replica refused is no attempt in this sense.
+        """
+        if not any(attempt.may_have_executed() for attempt in sub_request.attempts):
+            return True
+        return now >= self._repeat_from and self._is_caller_connected()
+
     # Handling the end of an attempt.
 
     def handle_attempt_end(
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -30,7 +30,9 @@
 MIN_DIRECT_QUERIES_PER_S = 3.0
 # An aggregator that has not confirmed a query after this share of its goal is taken for
 # failed.
-CONFIRMATION_GOAL_SHARE = 0.25
+CONFIRMATION_GOAL_SHARE = 0.3
+# Time in which the aggregator learns that its query was given up.
+CANCEL_MARGIN_S = 0.004
 # The aggregator's answer is wanted this long before the goal of the host that waits.
 ANSWER_MARGIN_S = 0.004
 # A confirmed query whose answer is this late is given up.
@@ -105,14 +107,16 @@
         self._timer = None
         self._is_confirmed = False
         self._was_sent = False
+        self._confirmation_timeout_s = CONFIRMATION_GOAL_SHARE * owner.route.goal_s
         self.started_at = shared.loop.now()
         self.outcome: Outcome | None = None
         self.answer: delegation_messages.Answer | None = None
 
     def start(self) -> None:
         """Send the query; the outcome may be decided before this returns."""
-        timeout_s = CONFIRMATION_GOAL_SHARE * self._owner.route.goal_s
-        self._timer = self._shared.loop.call_later(timeout_s, self._handle_timer)
+        self._timer = self._shared.loop.call_later(
+            self._confirmation_timeout_s, self._handle_timer
+        )
         self._pool = self._shared.get_aggregator_pool(self.aggregator.address)
         connection = self._pool.send(self)
         if self._connection is None:
@@ -136,6 +140,7 @@
             shards=tuple(sub_request.index for sub_request in self.sub_requests),
             min_parts=self._min_parts,
             goal_s=self._owner.goal_at - ANSWER_MARGIN_S - now,
+            hedge_after_s=self._confirmation_timeout_s + CANCEL_MARGIN_S,
             may_delegate=self._may_delegate,
         )
         remaining_s = max(self._owner.deadline_at - now, 0.001)
--- a/corianderrill/gateway/delegation_messages.py
+++ b/corianderrill/gateway/delegation_messages.py
@@ -17,7 +17,9 @@
 SHARDS_HEADER = "X-Query-Shards"
 MIN_PARTS_HEADER = "X-Query-Min-Parts"
 GOAL_MS_HEADER = "X-Query-Goal-Ms"
+HEDGE_AFTER_MS_HEADER = "X-Query-Hedge-After-Ms"
 MAY_DELEGATE_HEADER = "X-Query-May-Delegate"
+MAX_MASK_DIGITS = 4_096
 CONFIRMATION = b"HTTP/1.1 102 Processing\r\n\r\n"
 # A caller's own headers of these names are not passed on to replicas.
 _OWN_HEADERS = frozenset(
@@ -27,6 +29,7 @@
         SHARDS_HEADER,
         MIN_PARTS_HEADER,
         GOAL_MS_HEADER,
+        HEDGE_AFTER_MS_HEADER,
         MAY_DELEGATE_HEADER,
     )
 )
@@ -42,14 +45,16 @@
 
     `shards` are positions in the route's list of shards under the configuration
     `version`. The answer is wanted `goal_s` after the request's arrival, if it holds
-    at least `min_parts` by then. The aggregator may delegate shards itself if
-    `may_delegate` is set.
+    at least `min_parts` by then. For `hedge_after_s` the aggregator sends no second
+    attempt, since the host may still give it up and send one itself. The aggregator may
+    delegate shards itself if `may_delegate` is set.
     """
 
     version: routes.ConfigurationVersion
     shards: tuple[int, ...]
     min_parts: int
     goal_s: float
+    hedge_after_s: float
     may_delegate: bool
 
 
@@ -75,6 +80,7 @@
         SHARDS_HEADER: _encode_shards(terms.shards),
         MIN_PARTS_HEADER: terms.min_parts,
         GOAL_MS_HEADER: f"{max(1000 * terms.goal_s, 0.0):.1f}",
+        HEDGE_AFTER_MS_HEADER: f"{1000 * terms.hedge_after_s:.1f}",
         MAY_DELEGATE_HEADER: int(terms.may_delegate),
         requests.DEADLINE_MS_HEADER: int(1000 * remaining_s),
     }
@@ -95,6 +101,7 @@
             shards=_decode_shards(_get(headers, SHARDS_HEADER)),
             min_parts=int(_get(headers, MIN_PARTS_HEADER)),
             goal_s=float(_get(headers, GOAL_MS_HEADER)) / 1000,
+            hedge_after_s=float(_get(headers, HEDGE_AFTER_MS_HEADER)) / 1000,
             may_delegate=_get(headers, MAY_DELEGATE_HEADER) == "1",
         )
     except ValueError as error:
@@ -164,7 +171,10 @@
 
 
 def _decode_shards(text: str) -> tuple[int, ...]:
-    mask = int(text, 16)
-    if mask < 0:
-        raise MessageError(f"expected a hexadecimal mask, found {text!r}")
+    try:
+        mask = int(text[:MAX_MASK_DIGITS], 16)
+    except ValueError as error:
+        raise MessageError(str(error)) from error
+    if mask < 0 or len(text) > MAX_MASK_DIGITS:
+        raise MessageError(f"expected a hexadecimal mask, found {text[:40]!r}")
     return tuple(shard for shard in range(mask.bit_length()) if mask >> shard & 1)
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -104,6 +104,14 @@
     outcome: str
 
 
+class RelayLost(msgspec.Struct, tag="relay-lost", tag_field="event"):
+    """An aggregator does not answer in place of the store; others are asked."""
+
+    aggregator: str
+    error: str
+    revision: int
+
+
 class AggregatorSeen(msgspec.Struct, tag="aggregator", tag_field="event"):
     """A change of who holds an aggregator slot was read; `holder` is empty if none."""
 
@@ -270,6 +278,7 @@
     | HistoryLost
     | ConfigurationSeen
     | ReplicaSeen
+    | RelayLost
     | AggregatorSeen
     | AggregatorRoleChanged
     | QueryDelegated
--- a/corianderrill/gateway/loop.py
+++ b/corianderrill/gateway/loop.py
@@ -1,4 +1,8 @@
-"""The clock and the timers of the event loop, as an interface that tests replace."""
+"""The clock and the timers of the event loop, as an interface that tests replace.
+
+The clock also counts the time for which the host was suspended. What ran out meanwhile,
+such as a deadline or the trust in what the store said, has run out when it resumes.
+"""
 
 import time
 from collections.abc import Callable
@@ -7,6 +11,11 @@
 from eventlet import hubs
 
 
+def read_clock() -> float:
+    """Return the time since the host started, suspensions included, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Timer(Protocol):
     """A scheduled call."""
 
@@ -29,7 +38,7 @@
 class EventletLoop:
     """The event loop of eventlet."""
 
-    now = staticmethod(time.monotonic)
+    now = staticmethod(read_clock)
 
     @staticmethod
     def call_later(
--- a/corianderrill/gateway/pools.py
+++ b/corianderrill/gateway/pools.py
@@ -1,10 +1,9 @@
 """Connection pools of a host: one pool per replica address, with bounded size."""
 
 import math
-import time
 
 from corianderrill import names
-from corianderrill.gateway import connections, send_queue
+from corianderrill.gateway import connections, loop, send_queue
 
 # A request that is not idempotent can't be sent again after a connection failure. So it
 # reuses a connection only during this first share of the connection's idle timeout.
@@ -88,7 +87,7 @@
     def _acquire_idle(
         self, request: connections.OutboundRequest
     ) -> connections.Connection | None:
-        now = time.monotonic()
+        now = loop.read_clock()
         while self._idle:
             connection = self._idle[-1]
             reusable_for_s = min(connection.idle_timeout_s, self.max_idle_s)
@@ -104,7 +103,7 @@
     def release(self, connection: connections.Connection) -> None:
         """Store an idle connection, or send a queued request on it."""
         if self._queue and self.concurrency.allows(self.count_pending() - 1):
-            request = self._queue.pop(time.monotonic())
+            request = self._queue.pop(loop.read_clock())
             request.attach(connection)
             connection.send(request)
             return
@@ -120,7 +119,7 @@
             and len(self._connections) < self.max_connections
             and self.concurrency.allows(self.count_pending())
         ):
-            request = self._queue.pop(time.monotonic())
+            request = self._queue.pop(loop.read_clock())
             request.attach(self._open(request))
 
     def cancel_queued(self, request: connections.OutboundRequest) -> None:
@@ -131,7 +130,7 @@
         """Close the connections that were idle for more than `max_idle_s`."""
         if not self._idle:
             return
-        now = time.monotonic()
+        now = loop.read_clock()
         for connection in list(self._idle):
             if now - connection.idle_since > self.max_idle_s:
                 connection.close_idle()
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -5,7 +5,6 @@
 import os
 import random
 import signal
-import time
 from collections.abc import Callable, Mapping
 
 import eventlet
@@ -17,6 +16,7 @@
     aggregator_role,
     aggregators,
     caller_connections,
+    change_history,
     event_log,
     loop,
     pools,
@@ -30,7 +30,7 @@
     wsgi_app,
     zone_health,
 )
-from corianderrill.platform import requests, settings, store
+from corianderrill.platform import requests, settings, store, store_relay
 
 LOG_FLUSH_INTERVAL_S = 0.1
 EXPIRY_CHECK_INTERVAL_S = 0.25
@@ -52,6 +52,8 @@
 # for a replica whose store entry was removed before it reported draining.
 DRAIN_FALLBACK_SHARE = 0.25
 LAPSED_FALLBACK_SHARE = 0.85
+# A host answers watches of other hosts unless it missed more than one probe's reply.
+MAX_RELAY_VIEW_AGE_PROBES = 2.2
 GC_THRESHOLD_OBJECTS = 50_000
 
 Headers = Mapping[str, str]
@@ -83,7 +85,7 @@
             zone=host_settings.zone,
             view=self._view,
             pools=self._pools,
-            retry_budget=retry_budget.RetryBudget(0.0, 0.0, time.monotonic()),
+            retry_budget=retry_budget.RetryBudget(0.0, 0.0, loop.read_clock()),
             log=self.log,
             meter=metrics.Recorder(),
             loop=loop.EventletLoop(),
@@ -93,15 +95,23 @@
             query_rate=query_rate.QueryRate(),
         )
         self._app = wsgi_app.GatewayApp(self._shared)
-        self._aggregator_app = aggregator_app.AggregatorApp(self._shared)
+        history = change_history.ChangeHistory()
+        self._store_relay = store_relay.StoreRelay(
+            history, self._view, self._shared.loop.now
+        )
+        self._aggregator_app = aggregator_app.AggregatorApp(
+            self._shared, self._store_relay, host_settings.capacity_cores
+        )
         self._store_client = store.StoreClient(host_settings.store_address)
         self._store_watcher = store_watcher.StoreWatcher(
             self._store_client,
             self._view,
             self._pools,
             self._shared.aggregators,
+            host_settings.zone,
             self.log,
             rng,
+            history,
         )
         self._store_probe = store_probe.StoreProbe(self._store_watcher, rng)
         self._aggregator_role = aggregator_role.AggregatorRole(
@@ -126,6 +136,9 @@
         max_apply_delay_s = min(bounds.config_apply_s, bounds.drain_s)
         self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
         self._store_probe.set_interval(max_apply_delay_s)
+        self._store_relay.max_view_age_s = (
+            MAX_RELAY_VIEW_AGE_PROBES * self._store_probe.interval_s
+        )
         self._view.max_unconfirmed_s = bounds.config_apply_s
         drain_fallback_s = DRAIN_FALLBACK_SHARE * bounds.drain_s
         # The time counts from the removal of the entry. This host may see the removal
@@ -257,10 +270,11 @@
 
         Requests in flight may finish within the grace time.
         """
-        started_at = time.monotonic()
+        started_at = loop.read_clock()
         self.log.record(event_log.Stopping(signal_name, self._app.in_flight))
         self._app.is_shutting_down = True
         self._aggregator_app.is_shutting_down = True
+        self._store_relay.close()
         eventlet.spawn(self._aggregator_role.retire)
         eventlet.sleep(SHUTDOWN_ANNOUNCE_S)
         # Stops the accept loop. The WSGI server then closes idle connections and waits
@@ -270,7 +284,7 @@
         # New connections are now refused at once instead of waiting in the backlog.
         self._listener.close()
         grace_s = self._host_settings.bounds.grace_s - SHUTDOWN_GRACE_MARGIN_S
-        while self._count_in_flight() and time.monotonic() - started_at < grace_s:
+        while self._count_in_flight() and loop.read_clock() - started_at < grace_s:
             eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
         # Leaves time to send the last responses.
         eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -1,10 +1,9 @@
 """Renders the metrics of a gateway for a Prometheus scrape."""
 
-import time
 from collections.abc import Mapping
 
 from corianderrill import metrics
-from corianderrill.gateway import event_log, shared_state, store_watcher, wsgi_app
+from corianderrill.gateway import event_log, loop, shared_state, store_watcher, wsgi_app
 
 
 def render(
@@ -21,7 +20,7 @@
     meter.set(metrics.GATEWAY_IN_FLIGHT, front_end.in_flight)
     meter.set(metrics.GATEWAY_CONNECTIONS, shared.pools.count_opened())
     meter.set(metrics.GATEWAY_STORE_CALLS, watcher.client.call_count)
-    now = time.monotonic()
+    now = loop.read_clock()
     silent_s = now - watcher.last_reply_at
     meter.set(metrics.GATEWAY_STORE_SILENT, round(silent_s, 3))
     if shared.view.was_confirmed():
--- a/corianderrill/gateway/store_probe.py
+++ b/corianderrill/gateway/store_probe.py
@@ -17,6 +17,9 @@
 # A probe is due when nothing was heard from the store for this share of the time within
 # which a host has to apply a change.
 PROBE_INTERVAL_RATIO = 0.4
+# Probes of an aggregator cost the store nothing, and a change may have been delayed at
+# the aggregator already.
+RELAY_INTERVAL_FACTOR = 0.5
 # Largest random reduction of an interval, as a share of it, so that the probes of many
 # hosts spread out.
 PROBE_INTERVAL_JITTER = 0.2
@@ -50,11 +53,18 @@
         """Return the time until the next probe may be due, in seconds."""
         if not self.watcher.view.was_confirmed():
             return FIRST_PROBE_INTERVAL_S
-        interval_s = self.interval_s * (1.0 - PROBE_INTERVAL_JITTER * self.rng.random())
+        interval_s = self._get_interval_s()
+        interval_s *= 1.0 - PROBE_INTERVAL_JITTER * self.rng.random()
         if not self._is_watching():
             return interval_s
         return max(self.watcher.last_reply_at + interval_s - now, 0.0)
 
+    def _get_interval_s(self) -> float:
+        is_relayed = self.watcher.watched_client is not self.watcher.client
+        return (
+            RELAY_INTERVAL_FACTOR * self.interval_s if is_relayed else self.interval_s
+        )
+
     def _is_watching(self) -> bool:
         watcher = self.watcher
         return watcher.watching_since is not None and watcher.outage_started_at is None
@@ -64,7 +74,7 @@
             return False
         if not self.watcher.view.was_confirmed():
             return True
-        min_silent_s = (1.0 - PROBE_INTERVAL_JITTER) * self.interval_s
+        min_silent_s = (1.0 - PROBE_INTERVAL_JITTER) * self._get_interval_s()
         return now - self.watcher.last_reply_at >= min_silent_s
 
     def check(self) -> None:
@@ -74,7 +84,7 @@
         if watching_since is None:
             return
         try:
-            revision = watcher.client.probe_revision()
+            revision = watcher.watched_client.probe_revision()
         except store.StoreError as error:
             if watcher.watching_since == watching_since:
                 watcher.interrupt(error)
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -3,17 +3,27 @@
 The watcher reads all keys once, then sends long-poll watches from the revision it
 has reached. It reads all keys again when the store no longer has the history. A watch
 that gets no reply is interrupted by `store_probe`.
+
+Where an aggregator of the zone answers watches, the watcher sends them there, and to
+the store when no aggregator does.
 """
 
 import dataclasses
 import random
-import time
 from collections.abc import Callable
 
 import eventlet
 from eventlet import greenthread
 
-from corianderrill.gateway import aggregators, event_log, pools, view
+from corianderrill import names
+from corianderrill.gateway import (
+    aggregators,
+    change_history,
+    event_log,
+    loop,
+    pools,
+    view,
+)
 from corianderrill.platform import documents, store
 
 WATCH_WAIT_S = 25.0
@@ -43,22 +53,30 @@
     `revision` is the revision up to which changes are applied. `outage_started_at`,
     `last_reply_at` and `watching_since` are times of `clock`; the first is the time of
     the last reply before the outage, the last is None unless a watch is open.
+    `watched_client` is the client that the open watch, or the last one, was sent with.
     """
 
     client: store.StoreClient
     view: view.View
     pools: pools.PoolManager
     aggregators: aggregators.AggregatorDirectory
+    zone: names.ZoneName
     log: event_log.EventLog
     rng: random.Random
+    history: change_history.ChangeHistory
     batch_delay_s: float = 0.5
-    clock: Callable[[], float] = time.monotonic
+    min_batch_delay_s: float = 0.5
+    clock: Callable[[], float] = loop.read_clock
     revision: view.StoreRevision = view.StoreRevision(0)
     outage_started_at: float | None = None
     last_reply_at: float = 0.0
     watching_since: float | None = None
+    watched_client: store.StoreClient | None = None
     _consecutive_failures: int = 0
     _watch_thread: greenthread.GreenThread | None = None
+    _relay_clients: dict[names.Address, store.StoreClient] = dataclasses.field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         self.last_reply_at = self.clock()
@@ -73,6 +91,7 @@
             MAX_BATCH_DELAY_RATIO,
         )
         self.batch_delay_s = ratio * max_apply_delay_s
+        self.min_batch_delay_s = BATCH_DELAY_RATIO * max_apply_delay_s
 
     def run(self) -> None:
         """Read all keys and watch for changes, until the process ends."""
@@ -123,26 +142,60 @@
             if documents.format_aggregator_key(key) not in listed_keys:
                 self.aggregators.apply(key, None, oldest_revision)
         self.revision = oldest_revision
+        self.history.restart(oldest_revision)
         self._retain_pools()
 
     def _watch_once(self) -> None:
+        now = self.clock()
+        relay = self.aggregators.select_relay(self.zone, now, self.rng)
+        if relay is None:
+            self._watch_store()
+            return
+        try:
+            batch = self._wait_for_changes(self._get_relay_client(relay), WATCH_WAIT_S)
+        except store.StoreError as error:
+            self.aggregators.record_relay_failure(relay, self.clock())
+            self.log.record(event_log.RelayLost(relay.host, str(error), self.revision))
+            return
+        self._apply_batch(batch)
+
+    def _get_relay_client(self, relay: aggregators.Aggregator) -> store.StoreClient:
+        client = self._relay_clients.get(relay.address)
+        if client is None:
+            client = self._relay_clients[relay.address] = store.StoreClient(
+                relay.address
+            )
+        return client
+
+    def _watch_store(self) -> None:
         wait_s = WATCH_WAIT_S
         if self.outage_started_at is not None:
             # A probe is cheaper than a watch that fails.
             self.client.probe_revision()
             wait_s = WATCH_WAIT_AFTER_FAILURE_S
-        batch = self._wait_for_changes(wait_s)
+        batch = self._wait_for_changes(self.client, wait_s)
+        self._apply_batch(batch)
+        if 0 < len(batch.items) < MIN_BACKLOG_CHANGES:
+            # Few hosts are aggregators, and what one reads late reaches others later.
+            is_relay = self.aggregators.is_aggregator()
+            eventlet.sleep(self.min_batch_delay_s if is_relay else self.batch_delay_s)
+
+    def _apply_batch(self, batch: store.Batch) -> None:
         self._record_success(is_current=True)
-        self._apply_items(batch.items, self.clock())
+        now = self.clock()
+        self.view.distrust_removals(now + batch.removals_untrusted_s)
+        self._apply_items(batch.items, now)
         self.revision = view.StoreRevision(max(self.revision, batch.revision))
+        self.history.append(batch.items, self.revision)
         if batch.items:
             self._retain_pools()
-        if 0 < len(batch.items) < MIN_BACKLOG_CHANGES:
-            eventlet.sleep(self.batch_delay_s)
 
-    def _wait_for_changes(self, wait_s: float) -> store.Batch:
+    def _wait_for_changes(
+        self, client: store.StoreClient, wait_s: float
+    ) -> store.Batch:
         self.watching_since = self.clock()
-        self._watch_thread = eventlet.spawn(self._watch, wait_s)
+        self.watched_client = client
+        self._watch_thread = eventlet.spawn(self._watch, client, wait_s)
         try:
             result = self._watch_thread.wait()
         finally:
@@ -152,10 +205,12 @@
             raise result
         return result
 
-    def _watch(self, wait_s: float) -> store.Batch | store.StoreError:
+    def _watch(
+        self, client: store.StoreClient, wait_s: float
+    ) -> store.Batch | store.StoreError:
         """Return an error instead of raising it; eventlet would print a traceback."""
         try:
-            return self.client.watch(ALL_KEYS_PREFIX, self.revision, wait_s)
+            return client.watch(ALL_KEYS_PREFIX, self.revision, wait_s)
         except store.StoreError as error:
             return error
 
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -91,7 +91,11 @@
 
     def record_store_recovery(self, now: float) -> None:
         """Distrust removals for a while, now that the store answers after an outage."""
-        self.removals_untrusted_until = now + RECOVERY_GRACE_S
+        self.distrust_removals(now + RECOVERY_GRACE_S)
+
+    def distrust_removals(self, until: float) -> None:
+        """Distrust removals at least until a time."""
+        self.removals_untrusted_until = max(self.removals_untrusted_until, until)
 
     def apply_registration(
         self,
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -86,6 +86,7 @@
 class _WireAggregator(msgspec.Struct):
     host: str
     address: str
+    capacity_cores: float = 0.0
 
 
 _AGGREGATOR_DECODER = msgspec.json.Decoder(_WireAggregator)
@@ -174,7 +175,9 @@
 def encode_aggregator(aggregator: aggregators.Aggregator) -> bytes:
     """Return the value of the key of the slot that an aggregator holds."""
     return msgspec.json.encode(
-        _WireAggregator(aggregator.host, str(aggregator.address))
+        _WireAggregator(
+            aggregator.host, str(aggregator.address), aggregator.capacity_cores
+        )
     )
 
 
@@ -190,7 +193,10 @@
     ) as error:
         raise DocumentError(str(error)) from error
     return aggregators.Aggregator(
-        parse_aggregator_key(key), names.HostName(document.host), address
+        parse_aggregator_key(key),
+        names.HostName(document.host),
+        address,
+        document.capacity_cores,
     )
 
 
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -31,6 +31,8 @@
 KEEPALIVE_PROBES = 2
 # No key begins with it, so a range read of it returns only the store's revision.
 EMPTY_PREFIX = "~"
+RANGE_PATH = "/api/kv-range"
+WATCH_PATH = "/api/kv-watch"
 
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -74,11 +76,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """The items of a range read, or the changes of a watch, up to `revision`."""
+    """The items of a range read, or the changes of a watch, up to `revision`.
+
+    For `removals_untrusted_s` more, removals may be the effect of a store outage that
+    another host has noticed.
+    """
 
     items: tuple[Item, ...]
     revision: view.StoreRevision
     has_more: bool = False
+    removals_untrusted_s: float = 0.0
 
 
 class _WireItem(msgspec.Struct):
@@ -104,6 +111,8 @@
     events: list[_WireItem]
     # The store revision up to which the events are complete.
     at: int
+    # Set by an aggregator that answers in place of the store.
+    removals_untrusted_ms: float = 0.0
 
 
 _LEASE_DECODER = msgspec.json.Decoder(_WireLease)
@@ -137,7 +146,7 @@
             query["serializable"] = "1"
         if after is not None:
             query["after"] = after
-        body = self._get("/api/kv-range", query, CALL_TIMEOUT_S)
+        body = self._get(RANGE_PATH, query, CALL_TIMEOUT_S)
         reply = self._decode(_RANGE_DECODER, body)
         items = tuple(map(_decode_item, reply.items))
         return Batch(items, view.StoreRevision(reply.at), reply.has_more)
@@ -149,7 +158,7 @@
         read.
         """
         query = {"prefix": EMPTY_PREFIX, "serializable": "1"}
-        body = self._get("/api/kv-range", query, PROBE_TIMEOUT_S)
+        body = self._get(RANGE_PATH, query, PROBE_TIMEOUT_S)
         return view.StoreRevision(self._decode(_RANGE_DECODER, body).at)
 
     def list_keys(self, prefix: str) -> set[Key]:
@@ -190,10 +199,12 @@
             "after": str(after),
             "wait_ms": str(int(1000 * wait_s)),
         }
-        body = self._get("/api/kv-watch", query, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        body = self._get(WATCH_PATH, query, wait_s + WATCH_TIMEOUT_MARGIN_S)
         reply = self._decode(_WATCH_DECODER, body)
         return Batch(
-            tuple(map(_decode_item, reply.events)), view.StoreRevision(reply.at)
+            tuple(map(_decode_item, reply.events)),
+            view.StoreRevision(reply.at),
+            removals_untrusted_s=reply.removals_untrusted_ms / 1000,
         )
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/test_gateway_delegation.py
@@ -0,0 +1,176 @@
+"""Queries that are delegated to aggregators, in virtual time.
+
+Pattern: a host of a large site is asked rarely. The aggregator that it delegates a
+query to may refuse, be unreachable, paused, killed or confused.
+"""
+
+import pytest
+
+from corianderrill import names
+from corianderrill.gateway import coordinator, delegation
+from tests.utils import virtual_aggregators, virtual_servers
+
+Behavior = virtual_aggregators.Behavior
+Outcome = coordinator.RequestOutcome
+SHARDS = 10
+DIRECT_FAILURES = (Behavior.REFUSE, Behavior.UNREACHABLE, Behavior.STAY_SILENT)
+
+
+def build_site(mode=delegation.Mode.WHOLE_QUERY, behavior=Behavior.ANSWER, **fields):
+    site = virtual_servers.Site(shards=SHARDS, mode=mode, **fields)
+    aggregator = virtual_aggregators.add_to(site)
+    aggregator.behavior = behavior
+    return site, aggregator
+
+
+def ask_once(site, until_s=3.0):
+    query = site.ask()
+    site.loop.run_until(site.loop.now() + until_s)
+    return query, site.ended[-1]
+
+
+def count_arrivals(site):
+    return sum(server.arrivals for server in site.servers)
+
+
+def test_answer_of_the_aggregator_is_the_answer_of_the_query():
+    site, _ = build_site()
+    query, ended = ask_once(site)
+    assert ended.outcome is Outcome.COMPLETE
+    assert ended.parts == SHARDS
+    assert len(query.collect_parts().signatures) == SHARDS
+    assert count_arrivals(site) == 0
+
+
+def test_aggregator_gets_what_is_left_of_goal_and_deadline():
+    site, aggregator = build_site()
+    query, _ = ask_once(site)
+    terms = aggregator.queries[0]
+    assert terms.shards == tuple(range(SHARDS))
+    assert terms.min_parts == 9
+    assert 0 < terms.goal_s < query.goal_at
+    assert terms.version == query.version
+    assert terms.may_delegate
+
+
+@pytest.mark.parametrize("behavior", DIRECT_FAILURES)
+def test_query_is_sent_directly_in_time_if_the_aggregator_does_not_take_it(behavior):
+    site, _ = build_site(behavior=behavior)
+    _, ended = ask_once(site)
+    assert ended.outcome is Outcome.COMPLETE
+    assert ended.took_s < site.route.goal_s
+    assert count_arrivals(site) == SHARDS
+
+
+@pytest.mark.parametrize("behavior", [Behavior.REFUSE, Behavior.UNREACHABLE])
+def test_query_that_no_replica_got_costs_no_retry_budget(behavior):
+    site, _ = build_site(behavior=behavior)
+    query, _ = ask_once(site)
+    assert query.extra_attempts == 0
+
+
+def test_query_that_replicas_may_have_got_costs_retry_budget():
+    site, aggregator = build_site(behavior=Behavior.STAY_SILENT)
+    query, _ = ask_once(site)
+    assert query.extra_attempts == SHARDS
+    assert aggregator.canceled
+
+
+def test_no_further_attempt_follows_a_delegation_that_may_have_used_the_others():
+    """The route allows two replicas a shard; the aggregator may have used one."""
+    site, _ = build_site(behavior=Behavior.STAY_SILENT)
+    for server in site.servers:
+        server.fail_share = 1.0
+    query, ended = ask_once(site)
+    assert ended.outcome is Outcome.INDETERMINATE
+    assert all(len(s.list_attempted_replicas()) <= 1 for s in query.sub_requests)
+
+
+def test_retry_budget_bounds_the_queries_that_are_sent_again():
+    site, _ = build_site(behavior=Behavior.STAY_SILENT, fixed=0.0)
+    _, ended = ask_once(site)
+    assert ended.outcome is Outcome.INDETERMINATE
+    assert count_arrivals(site) == 0
+
+
+@pytest.mark.parametrize(
+    "behavior", [Behavior.FAIL_ONCE_CONFIRMED, Behavior.ANSWER_FOR_ANOTHER]
+)
+def test_query_whose_aggregator_fails_ends_at_once_and_may_have_run(behavior):
+    site, _ = build_site(behavior=behavior)
+    _, ended = ask_once(site)
+    assert ended.outcome is Outcome.INDETERMINATE
+    assert ended.took_s < 0.05
+    assert count_arrivals(site) == 0
+
+
+def test_query_whose_aggregator_pauses_ends_before_its_deadline():
+    site, _ = build_site(behavior=Behavior.STAY_SILENT_ONCE_CONFIRMED)
+    _, ended = ask_once(site)
+    assert ended.outcome is Outcome.INDETERMINATE
+    assert ended.took_s < 3 * site.route.goal_s
+
+
+def test_aggregator_that_failed_is_not_asked_again_for_a_while():
+    site, aggregator = build_site(behavior=Behavior.STAY_SILENT)
+    ask_once(site, 0.5)
+    ask_once(site, 0.5)
+    assert len(aggregator.queries) == 1
+    assert site.ended[-1].outcome is Outcome.COMPLETE
+    aggregator.behavior = Behavior.ANSWER
+    ask_once(site)
+    ask_once(site)
+    assert len(aggregator.queries) >= 2
+
+
+def test_part_that_the_answer_leaves_out_is_missing():
+    site, _ = build_site(behavior=Behavior.LEAVE_OUT_A_SHARD)
+    query, ended = ask_once(site)
+    assert ended.outcome is Outcome.PARTIAL
+    assert ended.missing == 1
+    assert query.collect_parts().shards == list(range(1, SHARDS))
+
+
+def test_caller_that_leaves_cancels_the_delegated_query():
+    site, aggregator = build_site(behavior=Behavior.STAY_SILENT_ONCE_CONFIRMED)
+    query = site.ask()
+    site.loop.run_until(0.03)
+    query.handle_caller_disconnect()
+    site.loop.run_until(0.04)
+    assert aggregator.canceled
+
+
+def test_shards_without_a_replica_in_the_own_zone_go_to_an_aggregator_elsewhere():
+    site, own = build_site(mode=delegation.Mode.OTHER_ZONES)
+    address = names.Address("10.0.1.9", 7420)
+    other = virtual_aggregators.add_to(site, "zone-b", 0, address)
+    for server in site.servers[:9]:
+        if server.zone == "zone-a":
+            site.remove(server)
+    _, ended = ask_once(site)
+    assert ended.outcome is Outcome.COMPLETE
+    assert [terms.shards for terms in other.queries] == [(0, 1, 2)]
+    assert not other.queries[0].may_delegate
+    assert not own.queries
+    assert count_arrivals(site) == SHARDS - 3
+
+
+def test_single_shard_of_another_zone_is_sent_directly():
+    site, _ = build_site(mode=delegation.Mode.OTHER_ZONES)
+    address = names.Address("10.0.1.9", 7420)
+    other = virtual_aggregators.add_to(site, "zone-b", 0, address)
+    site.remove(site.servers[0])
+    _, ended = ask_once(site)
+    assert ended.outcome is Outcome.COMPLETE
+    assert not other.queries
+
+
+def test_host_that_is_asked_often_delegates_no_whole_query():
+    site, _ = build_site()
+    for _ in range(60):
+        site.tools.query_rate.record(site.loop.now())
+    mode = delegation.select_mode(site.tools, site.route, site.loop.now())
+    assert mode is delegation.Mode.OTHER_ZONES
+    site.loop.run_until(60.0)
+    mode = delegation.select_mode(site.tools, site.route, site.loop.now())
+    assert mode is delegation.Mode.WHOLE_QUERY
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -9,7 +9,7 @@
 import eventlet
 import pytest
 
-from corianderrill.gateway import event_log, store_probe, store_watcher
+from corianderrill.gateway import change_history, event_log, store_probe, store_watcher
 from corianderrill.platform import store
 from tests.utils import gateway_builders as builders
 
@@ -81,8 +81,10 @@
             self.view,
             FakePools(),
             builders.build_aggregator_directory(),
+            builders.ZONE,
             self.log,
             rng,
+            change_history.ChangeHistory(),
             batch_delay_s=0.0,
         )
         self.probe = store_probe.StoreProbe(self.watcher, rng)
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from corianderrill.gateway import store_watcher
+from corianderrill.gateway import change_history, store_watcher
 from corianderrill.platform import store
 from tests.utils import gateway_builders as builders
 
@@ -44,8 +44,10 @@
         builders.build_view(),
         FakePools(),
         builders.build_aggregator_directory(),
+        builders.ZONE,
         FakeLog(),
         random.Random(1),
+        change_history.ChangeHistory(),
     )
     watcher.batch_delay_s = BATCH_DELAY_S
     for _ in counts:
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -6,6 +6,7 @@
 DRAIN_FALLBACK_S = 1.2
 LAPSED_FALLBACK_S = 2.0
 HOST = "leno.example"
+ZONE = names.ZoneName("zone-a")
 
 
 def build_registration(
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -14,6 +14,7 @@
 from corianderrill.gateway import (
     connections,
     coordinator,
+    delegation,
     event_log,
     pools,
     query_rate,
@@ -274,8 +275,10 @@
         fixed=58.0,
         target=None,
         reply_s=0.0,
+        mode=delegation.Mode.NOTHING,
         **route,
     ):
+        self.mode = mode
         self.loop = VirtualLoop()
         self.rng = random.Random(seed)
         services = tuple(names.ServiceName(f"shard-{n}") for n in range(shards))
@@ -330,14 +333,14 @@
             host=builders.HOST,
             time_limit_s=self.route.timeout_s,
             received_at=self.loop.now(),
-            head=b"",
+            head=b"GET /a/x HTTP/1.1\r\n",
             body=b"",
         )
         holder = []
 
         def conclude(conclusion):
             work = holder[0]
-            parts = sum(slot.reply is not None for slot in work.sub_requests)
+            parts = work.count_parts()
             self.ended.append(
                 Ended(
                     inbound.received_at,
@@ -352,13 +355,20 @@
         if not isinstance(self.route.target, routes.ScatterGather):
             services = (self.route.target.service,)
         work = coordinator.RequestCoordinator(
-            self.tools, inbound, self.route, services, conclude
+            self.tools, inbound, self.route, services, conclude, mode=self.mode
         )
         holder.append(work)
         self.coordinators.append(work)
         work.start()
         return work
 
+    def remove(self, server):
+        """Remove a replica from what the host knows."""
+        index = self.servers.index(server)
+        registered = len(self.servers) + 2
+        self.tools.view.apply_removal(f"i-{index}", registered + index, 0.0)
+        self.tools.view.drop_expired(60.0)
+
     def run(self, per_s, until_s):
         """Send requests at random times, then let all of them end."""
         at = 0.0
