Test aggregators with processes, and delegate only what can be sent again

Cause: a host that has just started has no retry budget; a query whose aggregator was paused ended with 502 (found by the new test of a paused aggregator, which failed first). Change: a host whose budget does not cover every shard sends directly. The stand-in of the store has leases; tests run two gateways of a zone and pause, kill or stop the aggregator, leave as a caller, and change the configuration. Metrics for delegations.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -5,6 +5,7 @@
 
 from eventlet import event
 
+from corianderrill import metrics
 from corianderrill.gateway import (
     caller_connections,
     coordinator,
@@ -162,6 +163,7 @@
         query: coordinator.RequestCoordinator,
         outcome: coordinator.RequestOutcome,
     ) -> None:
+        self._shared.meter.count(metrics.GATEWAY_DELEGATED_QUERIES, outcome.value)
         took_s = self._shared.loop.now() - inbound.received_at
         self._shared.log.record(
             event_log.DelegatedQueryEnded(
@@ -175,6 +177,7 @@
 
     def _refuse(self, request_id: str, reason: str) -> wsgi_app.Response:
         """Refuse a query before any sub-request was sent."""
+        self._shared.meter.count(metrics.GATEWAY_DELEGATED_QUERIES, "refused")
         self._shared.log.record(
             event_log.DelegatedQueryEnded(request_id, 0, 0, reason, 0.0)
         )
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
-from corianderrill import names
+from corianderrill import metrics, names
 from corianderrill.gateway import (
     aggregators,
     attempts,
@@ -220,6 +220,7 @@
         self.outcome = outcome
         if self._timer is not None:
             self._timer.cancel()
+        self._shared.meter.count(metrics.GATEWAY_DELEGATIONS, outcome.value)
         took_s = self._shared.loop.now() - self.started_at
         self._shared.log.record(
             event_log.QueryDelegated(
@@ -260,7 +261,16 @@
     sub_requests: Sequence[attempts.SubRequest],
     now: float,
 ) -> list[Group]:
-    """Return one group for an aggregator of the own zone; none if there is none."""
+    """Return one group for an aggregator of the own zone; none if there is none.
+
+    The retry budget has to allow for sending the query again, since the aggregator may
+    not confirm it.
+    """
+    if not all(
+        shared.retry_budget.can_spend(sub_request.service, now)
+        for sub_request in sub_requests
+    ):
+        return []
     aggregator = shared.aggregators.select(shared.zone, now, shared.rng)
     return [] if aggregator is None else [Group(aggregator, tuple(sub_requests))]
 
--- a/corianderrill/gateway/retry_budget.py
+++ b/corianderrill/gateway/retry_budget.py
@@ -81,18 +81,22 @@
 
     def try_spend(self, service: names.ServiceName, now: float) -> bool:
         """Spend one extra attempt; return False if the budget is exhausted."""
-        self._advance(now)
-        host_slack = self.host_slack
-        if now - self.started_at < WINDOW_S:
-            host_slack = min(host_slack, MAX_STARTUP_SLACK)
-        max_extra_attempts = self.ratio * self._requests[service] + host_slack
-        if self._extra_attempts[service] + 1 > max_extra_attempts:
+        if not self.can_spend(service, now):
             self.denied_count += 1
             return False
         self._extra_attempts[service] += 1
         self._buckets[-1].extra_attempts[service] += 1
         return True
 
+    def can_spend(self, service: names.ServiceName, now: float) -> bool:
+        """Return whether the budget allows one more extra attempt."""
+        self._advance(now)
+        host_slack = self.host_slack
+        if now - self.started_at < WINDOW_S:
+            host_slack = min(host_slack, MAX_STARTUP_SLACK)
+        max_extra_attempts = self.ratio * self._requests[service] + host_slack
+        return self._extra_attempts[service] + 1 <= max_extra_attempts
+
     def _advance(self, now: float) -> None:
         """Drop the buckets that have left the window; a bucket expires as a whole."""
         while (
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -197,6 +197,15 @@
 GATEWAY_MISSING_PARTS = _count(
     "gateway_missing_parts", "Shards that successful answers leave out."
 )
+GATEWAY_DELEGATIONS = _count(
+    "gateway_delegations", "Queries sent to aggregators by their end.", ("outcome",), 16
+)
+GATEWAY_DELEGATED_QUERIES = _count(
+    "gateway_delegated_queries",
+    "Queries of other hosts by their end.",
+    ("outcome",),
+    32,
+)
 GATEWAY_IN_FLIGHT = _gauge("gateway_in_flight", "Requests without an answer.")
 GATEWAY_CONNECTIONS = _gauge(
     "gateway_connections_opened", "Connections opened to addresses in use."
--- /dev/null
+++ b/tests/test_gateway_aggregation.py
@@ -0,0 +1,189 @@
+"""Gateway processes of one zone, of which one is an aggregator."""
+
+import json
+import signal
+import time
+
+import eventlet
+import pytest
+
+from tests.utils import gateway_rig, processes
+
+# Sized for 80 hosts, so that aggregators are wanted.
+RETRY_SLACK = 200
+# Lets a host that has just started send a query again that its aggregator did not take.
+RETRY_RATIO = 20
+GOAL_S = 0.5
+DEADLINE_S = 2.0
+
+
+def pick_port_range():
+    port = int(processes.pick_address().rpartition(":")[2])
+    return [port, port]
+
+
+class Zone:
+    """Two hosts: the first one, with more capacity, is the aggregator."""
+
+    def __init__(self, directory):
+        self.rig = gateway_rig.GatewayRig(
+            directory,
+            retry_slack=RETRY_SLACK,
+            retry_ratio=RETRY_RATIO,
+            port_range=pick_port_range(),
+            cpu_share=60.0,
+        )
+        self.aggregator = self.rig.hosts[0]
+        self.entry = self.rig.add_host(
+            "front-2",
+            retry_slack=RETRY_SLACK,
+            retry_ratio=RETRY_RATIO,
+            port_range=pick_port_range(),
+            cpu_share=0.1,
+        )
+        self.rig.publish_configuration()
+        self.rig.register_servers()
+
+    def start(self):
+        for host in self.rig.hosts:
+            host.start()
+            self.rig.wait_until_ready(host)
+        self.rig.wait_until(
+            lambda: "aggregators/zone-a/0" in self.rig.store.list_keys()
+        )
+        self.rig.wait_until(self.delegates)
+
+    def delegates(self):
+        """Return whether a query went from the entry host to the aggregator."""
+        before = self.count_delegated()
+        eventlet.sleep(0.1)
+        self.query("warm-up")
+        return self.count_delegated() > before
+
+    def count_delegated(self):
+        connection = gateway_rig.connect(self.aggregator.metrics_address)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        samples = [
+            line.split()[-1]
+            for line in text.splitlines()
+            if line.startswith("corianderrill_gateway_delegated_queries_total{")
+            and 'outcome="answered"' in line
+        ]
+        return sum(map(float, samples))
+
+    def query(self, request_id):
+        started_at = time.monotonic()
+        response, body = self.entry.send_request("/gather/x", request_id)
+        return response, body, time.monotonic() - started_at
+
+
+@pytest.fixture
+def zone(tmp_path):
+    running = Zone(tmp_path)
+    try:
+        running.start()
+        yield running
+    finally:
+        running.rig.stop()
+
+
+def assert_complete(response, body):
+    assert response.status == 200
+    assert response.headers["X-Missing-Parts"] == "0"
+    assert body == b"C" * 32 + b"B" * 16
+
+
+def test_delegated_query_is_answered_like_any_other(zone):
+    before = zone.count_delegated()
+    response, body, _ = zone.query("q-1")
+    assert_complete(response, body)
+    signatures = response.headers["X-Part-Stamps"].split(", ")
+    assert sorted(signatures) == sorted(f"{s.id}.q-1" for s in zone.rig.shard_servers)
+    assert zone.count_delegated() == before + 1
+    assert all(s.requests.count("q-1") == 1 for s in zone.rig.shard_servers)
+
+
+def test_queries_are_answered_in_time_while_the_aggregator_is_paused(zone):
+    zone.aggregator.signal(signal.SIGSTOP)
+    try:
+        for number in range(4):
+            response, body, took_s = zone.query(f"paused-{number}")
+            assert_complete(response, body)
+            assert took_s < GOAL_S
+    finally:
+        zone.aggregator.signal(signal.SIGCONT)
+    eventlet.sleep(0.5)
+    # The aggregator read the query when its sender had given it up.
+    for server in zone.rig.shard_servers:
+        assert server.requests.count("paused-0") == 1
+
+
+def test_queries_are_answered_after_the_aggregator_was_killed(zone):
+    zone.aggregator.signal(signal.SIGKILL)
+    eventlet.sleep(0.1)
+    for number in range(4):
+        response, body, took_s = zone.query(f"killed-{number}")
+        assert_complete(response, body)
+        assert took_s < GOAL_S
+
+
+def test_caller_that_leaves_stops_the_work_of_the_aggregator(zone):
+    for server in zone.rig.shard_servers:
+        server.delay_s = 1.0
+    connection = zone.entry.connect()
+    connection.request(
+        "GET",
+        "/gather/x",
+        headers={
+            "Host": gateway_rig.HOST,
+            "X-Request-Id": "left",
+            "X-Deadline-Ms": "2000",
+        },
+    )
+    eventlet.sleep(0.2)
+    connection.close()
+    eventlet.sleep(0.3)
+    zone.aggregator.terminate()
+    lines = map(json.loads, zone.aggregator.read_output().splitlines())
+    ended = [
+        line["record"]
+        for line in lines
+        if line["record"].get("request_id") == "left"
+        and line["record"]["event"] == "answered-for"
+    ]
+    assert [record["outcome"] for record in ended] == ["abandoned"]
+    assert ended[0]["took_ms"] < 700
+
+
+def test_aggregator_that_stops_refuses_queries_and_gives_up_its_slot(zone):
+    zone.aggregator.terminate()
+    zone.rig.wait_until(
+        lambda: "aggregators/zone-a/0" not in zone.rig.store.list_keys()
+    )
+    response, body, took_s = zone.query("stopping")
+    assert_complete(response, body)
+    assert took_s < GOAL_S
+    zone.aggregator.read_output()
+    assert zone.aggregator.process.returncode == 0
+
+
+def test_configuration_reaches_a_host_that_watches_the_aggregator(zone):
+    calls_before = zone.rig.store.watch_count
+    zone.rig.publish_configuration(version=5, single={"prefix": "/new-single/"})
+    with eventlet.Timeout(gateway_rig.CONFIG_APPLY_S):
+        while zone.entry.send_request("/new-single/x")[0].status != 200:
+            eventlet.sleep(gateway_rig.POLL_INTERVAL_S)
+    # One watch of the aggregator returned and was sent again.
+    assert zone.rig.store.watch_count - calls_before <= 2
+
+
+def test_configuration_reaches_a_host_whose_aggregator_is_paused(zone):
+    zone.aggregator.signal(signal.SIGSTOP)
+    try:
+        zone.rig.publish_configuration(version=5, single={"prefix": "/new-single/"})
+        with eventlet.Timeout(gateway_rig.CONFIG_APPLY_S + gateway_rig.CONTACT_S):
+            while zone.entry.send_request("/new-single/x")[0].status != 200:
+                eventlet.sleep(gateway_rig.POLL_INTERVAL_S)
+    finally:
+        zone.aggregator.signal(signal.SIGCONT)
--- /dev/null
+++ b/tests/test_gateway_aggregator_role.py
@@ -0,0 +1,156 @@
+"""How a host takes an aggregator slot, keeps it and loses it."""
+
+import random
+
+import pytest
+
+from corianderrill import names
+from corianderrill.gateway import aggregator_role, aggregators
+from corianderrill.platform import documents, store
+from tests.utils import gateway_builders as builders
+
+ADDRESS = names.Address("10.0.0.1", 7420)
+MANY_HOSTS = 64.0
+
+
+class FakeClient:
+    """A store client with keys under leases."""
+
+    def __init__(self):
+        self.keys = {}
+        self.leases = set()
+        self.is_down = False
+
+    def _check(self):
+        if self.is_down:
+            raise store.StoreError(store.FailureKind.UNREACHABLE, "down")
+
+    def list_keys(self, prefix):
+        self._check()
+        return {key for key in self.keys if key.startswith(prefix)}
+
+    def grant_lease(self, ttl_s):
+        self._check()
+        lease = store.LeaseId(len(self.leases) + 1)
+        self.leases.add(lease)
+        return lease
+
+    def keep_lease(self, lease):
+        self._check()
+        return lease in self.leases
+
+    def end_lease(self, lease):
+        self._check()
+        self.leases.discard(lease)
+        self.keys = {
+            k: (v, held) for k, (v, held) in self.keys.items() if held != lease
+        }
+
+    def create_key(self, key, value, lease):
+        self._check()
+        if key in self.keys:
+            return False
+        self.keys[key] = (value, lease)
+        return True
+
+
+class Log:
+    def __init__(self):
+        self.changes = []
+
+    def record(self, record):
+        self.changes.append(record.change)
+
+
+def build_role(client=None, host_count=MANY_HOSTS, address=ADDRESS, confirmed=True):
+    view = builders.build_view()
+    if confirmed:
+        view.confirmed_at = 1.0
+    return aggregator_role.AggregatorRole(
+        client or FakeClient(),
+        builders.build_aggregator_directory(),
+        view,
+        builders.ZONE,
+        address,
+        2.0,
+        Log(),
+        random.Random(1),
+        host_count,
+        sleep=lambda _seconds: None,
+    )
+
+
+def test_host_takes_a_vacant_slot_under_a_lease():
+    role = build_role()
+    role._step()
+    key = documents.format_aggregator_key(role.held.key)
+    value, lease = role.client.keys[key]
+    assert documents.decode_aggregator(key, value) == role.held
+    assert lease in role.client.leases
+    assert role.held.address == ADDRESS
+
+
+@pytest.mark.parametrize(
+    "unfit", [{"host_count": 9.0}, {"address": None}, {"confirmed": False}], ids=str
+)
+def test_host_takes_no_slot_on_a_small_site_or_without_a_port_or_view(unfit):
+    role = build_role(**unfit)
+    role._step()
+    assert role.held is None
+    assert not role.client.leases
+
+
+def test_slot_that_is_taken_in_the_store_is_left_to_its_holder():
+    client = FakeClient()
+    first, second, third = (build_role(client) for _ in range(3))
+    for role in (first, second, third):
+        role._step()
+    assert {first.held.key.slot, second.held.key.slot} == {0, 1}
+    assert third.held is None
+
+
+def test_host_whose_lease_has_ended_no_longer_holds_the_slot():
+    role = build_role()
+    role._step()
+    role.client.leases.clear()
+    role._step()
+    assert role.held is None
+    assert role.log.changes == ["taken", "lost"]
+
+
+def test_host_that_cannot_renew_the_lease_gives_up_the_slot():
+    role = build_role()
+    role._step()
+    role.client.is_down = True
+    with pytest.raises(store.StoreError):
+        role._step()
+    role._drop_slot("down")
+    assert role.held is None
+
+
+def test_host_that_shuts_down_ends_its_lease_and_takes_no_slot_again():
+    role = build_role()
+    role._step()
+    role.retire()
+    assert not role.client.leases
+    assert not role.client.keys
+    role._step()
+    assert role.held is None
+
+
+def test_shutdown_with_the_store_down_leaves_the_lease_to_end():
+    role = build_role()
+    role._step()
+    role.client.is_down = True
+    role.retire()
+    assert role.held is None
+
+
+def test_slot_with_an_invalid_key_or_value_is_an_error():
+    with pytest.raises(documents.DocumentError):
+        documents.parse_aggregator_key("aggregators/zone-a/x")
+    with pytest.raises(documents.DocumentError):
+        documents.decode_aggregator("aggregators/zone-a/0", b"{nonsense")
+    key = aggregators.SlotKey(builders.ZONE, aggregators.Slot(1))
+    text = documents.format_aggregator_key(key)
+    assert documents.parse_aggregator_key(text) == key
