Give aggregator slots a part of the retry budget, and confirm while working

A group of a remote aggregator that missed one part too many came not at all, and a host waited two goals before it took a silent aggregator for failed. Change: 0.4 of the slack belongs to the aggregator slots. A holder uses it only while its lease is certain to last, by a clock that counts suspensions, and not in its first window. Remote groups come at the goal if the query can still succeed with them. An aggregator repeats its confirmation each 0.1 s while it works; without one for 0.25 s it is taken for failed. A failed renewal no longer gives up a slot whose lease lasts. Tests: the sum over hosts and slots (hypothesis), takeovers with pauses (hypothesis).

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Iterable
 
+import eventlet
 from eventlet import event
 
 from corianderrill import metrics
@@ -22,6 +23,8 @@
 # More queries at once would make all of them late.
 MAX_IN_FLIGHT_QUERIES_PER_CORE = 24.0
 MIN_IN_FLIGHT_QUERIES = 4.0
+# While a query is worked on, the host that delegated it is told so at this interval.
+CONFIRMATION_INTERVAL_S = 0.1
 # Hosts may keep an idle connection for this long.
 KEEP_ALIVE_S = 30
 
@@ -151,7 +154,7 @@
         )
         try:
             query.start()
-            outcome = outcome_event.wait()
+            outcome = _wait_and_confirm(outcome_event, sock)
         finally:
             watcher.stop()
         self._record(inbound, query, outcome)
@@ -207,6 +210,15 @@
     return True
 
 
+def _wait_and_confirm(
+    outcome_event: event.Event, sock: object
+) -> coordinator.RequestOutcome:
+    while True:
+        with eventlet.Timeout(CONFIRMATION_INTERVAL_S, False):
+            return outcome_event.wait()
+        _confirm(sock)
+
+
 def _is_connected(sock: object) -> bool:
     """Return whether the other end has not closed its connection."""
     try:
--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from corianderrill import names
-from corianderrill.gateway import aggregators, event_log, view
+from corianderrill.gateway import aggregators, event_log, loop, retry_budget, view
 from corianderrill.platform import documents, store
 
 LEASE_TTL_S = 6.0
@@ -27,6 +27,7 @@
     """A change of the role; the values are written to the log."""
 
     TAKEN = "taken"
+    RENEWAL_FAILED = "renewal-failed"
     LOST = "lost"
     GIVEN_UP = "given-up"
 
@@ -46,10 +47,13 @@
     capacity_cores: float
     log: event_log.EventLog
     rng: random.Random
+    retry_budget: retry_budget.RetryBudget
     host_count: float = 0.0
+    clock: Callable[[], float] = loop.read_clock
     sleep: Callable[[float], None] = eventlet.sleep
     held: aggregators.Aggregator | None = None
     _lease: store.LeaseId | None = None
+    _lease_until: float = 0.0
     _is_retired: bool = False
 
     def run(self) -> None:
@@ -58,14 +62,21 @@
             try:
                 self._step()
             except store.StoreError as error:
-                self._drop_slot(str(error))
-                self.sleep(RETRY_DELAY_S * (0.5 + self.rng.random()))
+                self._handle_failure(error)
+
+    def _handle_failure(self, error: store.StoreError) -> None:
+        """Keep the slot while its lease is certain to last, else drop it and wait."""
+        if self.held is not None and self.clock() < self._lease_until:
+            self._record(RoleChange.RENEWAL_FAILED, self.held, str(error))
+            return
+        self._drop_slot(str(error))
+        self.sleep(RETRY_DELAY_S * (0.5 + self.rng.random()))
 
     def _step(self) -> None:
         if self.held is not None:
             self.sleep(RENEWAL_INTERVAL_S)
-            if self.held is not None and not self.client.keep_lease(self._lease):
-                self._drop_slot("the lease has ended")
+            if self.held is not None:
+                self._renew_lease()
             return
         self.sleep(CHECK_INTERVAL_S * (0.5 + self.rng.random()))
         if not self._has_vacancy():
@@ -74,6 +85,18 @@
         if self._has_vacancy():
             self._try_take_slot()
 
+    def _renew_lease(self) -> None:
+        sent_at = self.clock()
+        if not self.client.keep_lease(self._lease):
+            self._drop_slot("the lease has ended")
+        elif self.held is not None:
+            self._extend(sent_at)
+
+    def _extend(self, sent_at: float) -> None:
+        # The lease runs from the arrival of the call, which is later.
+        self._lease_until = sent_at + LEASE_TTL_S
+        self.retry_budget.extend_slot(self._lease_until)
+
     def _has_vacancy(self) -> bool:
         if self._is_retired or self.address is None or self.host_count < MIN_HOSTS:
             return False
@@ -97,6 +120,7 @@
         candidate = aggregators.Aggregator(
             vacant[0], self.directory.own_host, self.address, self.capacity_cores
         )
+        sent_at = self.clock()
         lease = self.client.grant_lease(LEASE_TTL_S)
         if not self.client.create_key(
             documents.format_aggregator_key(candidate.key),
@@ -105,12 +129,15 @@
         ):
             return
         self.held, self._lease = candidate, lease
+        self.retry_budget.take_slot(self.clock())
+        self._extend(sent_at)
         self._record(RoleChange.TAKEN, candidate, "")
 
     def _drop_slot(self, reason: str) -> None:
         if self.held is not None:
             self._record(RoleChange.LOST, self.held, reason)
         self.held = self._lease = None
+        self.retry_budget.lose_slot()
 
     def retire(self) -> None:
         """Give up the slot for good, since the host shuts down."""
@@ -119,6 +146,7 @@
         if held is None:
             return
         self.held = self._lease = None
+        self.retry_budget.lose_slot()
         try:
             self.client.end_lease(lease)
         except store.StoreError as error:
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -188,7 +188,7 @@
             )
         optional = len(self.sub_requests) - self._required_count
         for group in groups:
-            min_parts = len(group.sub_requests) - optional // len(groups)
+            min_parts = len(group.sub_requests) - optional
             self._start_delegation(group, max(min_parts, 1), may_delegate)
 
     def _start_delegation(
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -35,8 +35,9 @@
 CANCEL_MARGIN_S = 0.004
 # The aggregator's answer is wanted this long before the goal of the host that waits.
 ANSWER_MARGIN_S = 0.004
-# A confirmed query whose answer is this late is given up.
-OVERDUE_S = 0.05
+# An aggregator that has not confirmed again that it works on a query after this time is
+# taken for failed; it does so every `aggregator_app.CONFIRMATION_INTERVAL_S`.
+LIVENESS_TIMEOUT_S = 0.25
 # A delegation costs about as much as this many sub-requests.
 MIN_DELEGATED_SHARDS = 2
 
@@ -76,7 +77,6 @@
     route: routes.Route
     version: routes.ConfigurationVersion
     goal_at: float
-    late_answer_at: float
     deadline_at: float
 
     def handle_delegation_end(self, delegation: "Delegation") -> None:
@@ -159,14 +159,13 @@
         return requests.echoes_request_id(headers, self._owner.request.id)
 
     def on_interim_reply(self) -> None:
-        """Wait for the answer, now that the aggregator has confirmed the query."""
-        if self.outcome is not None or self._is_confirmed:
+        """Wait on, now that the aggregator has confirmed that it works on the query."""
+        if self.outcome is not None:
             return
         self._is_confirmed = True
         self._timer.cancel()
-        delay_s = self._owner.late_answer_at + OVERDUE_S - self._shared.loop.now()
         self._timer = self._shared.loop.call_later(
-            max(delay_s, 0.0), self._handle_timer
+            LIVENESS_TIMEOUT_S, self._handle_timer
         )
 
     def on_result(
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -123,14 +123,21 @@
             host_settings.capacity_cores,
             self.log,
             rng,
+            self._shared.retry_budget,
         )
         self._apply_bounds(host_settings.bounds)
         self._stopped = event.Event()
         self._is_shutting_down = False
 
     def _apply_bounds(self, bounds: settings.Bounds) -> None:
-        self._shared.retry_budget.apply_bounds(bounds.retry_ratio, bounds.retry_slack)
         host_count = retry_budget.estimate_host_count(bounds.retry_slack)
+        has_aggregators = host_count >= aggregator_role.MIN_HOSTS
+        zone_count = self._host_settings.zone_count if has_aggregators else 0
+        self._shared.retry_budget.apply_bounds(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            slot_count=aggregators.SLOTS_PER_ZONE * zone_count,
+        )
         self._pools.host_count = host_count
         self._aggregator_role.host_count = host_count
         max_apply_delay_s = min(bounds.config_apply_s, bounds.drain_s)
--- a/corianderrill/gateway/retry_budget.py
+++ b/corianderrill/gateway/retry_budget.py
@@ -6,10 +6,15 @@
 all hosts holds for any split of the load. The number of hosts is derived from the
 slack, which the platform sizes by it. A host that has just started may have spent its
 share before a restart.
+
+A part of the slack belongs to the aggregator slots, since aggregators send most
+sub-requests. A host uses that of its slot only while its lease is certain to last, and
+not in the first window, in which the slot's last holder may have spent it.
 """
 
 import collections
 import dataclasses
+import math
 
 from corianderrill import names
 
@@ -24,6 +29,8 @@
 MIN_HOSTS = 4.0
 # Leaves room for hosts that are added and for those that restart.
 SLACK_SAFETY_FACTOR = 0.9
+# The share of the slack that is divided among the aggregator slots, on sites with them.
+SLOT_SLACK_SHARE = 0.4
 # Maximum slack, in attempts, in the first window after the host starts, which may still
 # contain attempts from before a restart. It is below 1, so that the slack alone allows
 # no attempt.
@@ -46,13 +53,16 @@
     """Limits the extra attempts that this host sends to each service.
 
     `ratio` is the number of extra attempts allowed per request. `host_slack` is this
-    host's share of the slack, allowed in addition in each window. `started_at` is when
-    the host started.
+    host's share of the slack, allowed in addition in each window, `slot_slack` that of
+    an aggregator slot. `started_at` is when the host started.
     """
 
     ratio: float
     host_slack: float
     started_at: float
+    slot_slack: float = 0.0
+    _slot_from: float = math.inf
+    _slot_until: float = -math.inf
     denied_count: int = 0
     _buckets: collections.deque[_Bucket] = dataclasses.field(
         default_factory=collections.deque
@@ -64,12 +74,32 @@
         default_factory=collections.Counter
     )
 
-    def apply_bounds(self, retry_ratio: float, retry_slack: float) -> None:
-        """Apply new bounds over all hosts; the counts of the window stay."""
+    def apply_bounds(
+        self, retry_ratio: float, retry_slack: float, slot_count: int = 0
+    ) -> None:
+        """Apply new bounds over all hosts; the counts of the window stay.
+
+        `slot_count` is the number of aggregator slots of the site, 0 without them.
+        """
         self.ratio = retry_ratio * RATIO_SAFETY_FACTOR
-        self.host_slack = (
-            SLACK_SAFETY_FACTOR * retry_slack / estimate_host_count(retry_slack)
-        )
+        usable_slack = SLACK_SAFETY_FACTOR * retry_slack
+        slots_slack = SLOT_SLACK_SHARE * usable_slack if slot_count else 0.0
+        self.slot_slack = slots_slack / max(slot_count, 1)
+        hosts_slack = usable_slack - slots_slack
+        self.host_slack = hosts_slack / estimate_host_count(retry_slack)
+
+    def take_slot(self, now: float) -> None:
+        """Prepare to use the slack of an aggregator slot that this host took now."""
+        self._slot_from = now + WINDOW_S + BUCKET_S
+        self._slot_until = -math.inf
+
+    def extend_slot(self, until: float) -> None:
+        """Allow the slack of the slot until the lease may have ended."""
+        self._slot_until = until
+
+    def lose_slot(self) -> None:
+        """Use the slack of the slot no longer."""
+        self._slot_until = -math.inf
 
     def record_requests(
         self, services: tuple[names.ServiceName, ...], now: float
@@ -94,6 +124,8 @@
         host_slack = self.host_slack
         if now - self.started_at < WINDOW_S:
             host_slack = min(host_slack, MAX_STARTUP_SLACK)
+        if self._slot_from <= now < self._slot_until:
+            host_slack += self.slot_slack
         max_extra_attempts = self.ratio * self._requests[service] + host_slack
         return self._extra_attempts[service] + 1 <= max_extra_attempts
 
--- a/corianderrill/platform/settings.py
+++ b/corianderrill/platform/settings.py
@@ -41,7 +41,8 @@
 
     `listen_address` is where callers send their requests, `aggregation_address` where
     other hosts send queries; it is None if the platform leaves no port for that.
-    `capacity_cores` is the processor time that the host has, in cores.
+    `capacity_cores` is the processor time that the host has, in cores; `zone_count` is
+    the number of availability zones of the site.
     """
 
     host: names.HostName
@@ -53,6 +54,7 @@
     bounds: Bounds
     aggregation_address: names.Address | None
     capacity_cores: float
+    zone_count: int
 
 
 def find_settings_path() -> str:
@@ -90,6 +92,7 @@
         ),
         aggregation_address=_find_aggregation_address(document, listen_address.ip),
         capacity_cores=_find_capacity_cores(document),
+        zone_count=len(document.get("zones", ())),
     )
 
 
--- a/tests/test_gateway_retry_budget.py
+++ b/tests/test_gateway_retry_budget.py
@@ -115,3 +115,74 @@
     budget = build_host_budget(-20.0)
     spend_budget(budget, 1.0)
     assert budget.denied_count == 1
+
+
+def count_allowed(budget, now):
+    return sum(budget.try_spend("s", now) for _ in range(200))
+
+
+def build_budget_with_slot(now=0.0):
+    budget = retry_budget.RetryBudget(0.0, 0.0, -60.0)
+    budget.apply_bounds(0.2, 200, slot_count=6)
+    budget.take_slot(now)
+    return budget
+
+
+def test_slack_of_a_slot_is_used_only_after_a_window_without_its_last_holder():
+    budget = build_budget_with_slot(now=0.0)
+    budget.extend_slot(100.0)
+    before = count_allowed(budget, retry_budget.WINDOW_S)
+    after = count_allowed(budget, 3 * retry_budget.WINDOW_S)
+    assert before == int(budget.host_slack)
+    assert after == int(budget.host_slack + budget.slot_slack)
+
+
+def test_slack_of_a_slot_is_not_used_when_the_lease_may_have_ended():
+    """The holder was paused, or did not reach the store to renew the lease."""
+    budget = build_budget_with_slot(now=0.0)
+    budget.extend_slot(20.0)
+    assert count_allowed(budget, 20.0) == int(budget.host_slack)
+    budget = build_budget_with_slot(now=0.0)
+    budget.extend_slot(100.0)
+    budget.lose_slot()
+    assert count_allowed(budget, 20.0) == int(budget.host_slack)
+
+
+@hypothesis.given(strategies.integers(80, 2000), strategies.integers(2, 5))
+def test_shares_of_all_hosts_and_slots_stay_within_the_slack(slack, zones):
+    slots = 2 * zones
+    budget = retry_budget.RetryBudget(0.0, 0.0, 0.0)
+    budget.apply_bounds(0.2, slack, slot_count=slots)
+    hosts = retry_budget.estimate_host_count(slack)
+    assert hosts * budget.host_slack + slots * budget.slot_slack <= slack
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 3), strategies.floats(0.0, 4.0)),
+        max_size=60,
+    )
+)
+def test_holders_of_a_slot_together_stay_within_its_slack(steps):
+    """Hosts take the slot over from each other when the lease of the last one ended."""
+    ttl_s = 6.0
+    budgets = [build_budget_with_slot() for _ in range(4)]
+    for budget in budgets:
+        budget.host_slack = 0.0
+        budget.lose_slot()
+    now = 0.0
+    holder, lease_ends_at = None, 0.0
+    spent_at = []
+    for host, pause_s in steps:
+        now += pause_s
+        if holder == host and now < lease_ends_at:
+            lease_ends_at = now + ttl_s
+            budgets[host].extend_slot(now + ttl_s)
+        elif now >= lease_ends_at:
+            holder, lease_ends_at = host, now + ttl_s
+            budgets[host].take_slot(now)
+            budgets[host].extend_slot(now + ttl_s)
+        for budget in budgets:
+            spent_at += [now] * count_allowed(budget, now)
+        window = [at for at in spent_at if at > now - retry_budget.WINDOW_S]
+        assert len(window) <= budgets[0].slot_slack
