--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -15,10 +15,11 @@
     event_log,
     routes,
     shared_state,
+    store_relay,
     top_records,
     wsgi_app,
 )
-from corianderrill.platform import requests, store, store_relay
+from corianderrill.platform import requests, store
 
 # More queries at once would make all of them late.
 MAX_IN_FLIGHT_QUERIES_PER_CORE = 24.0
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -25,12 +25,13 @@
     scrape,
     shared_state,
     store_probe,
+    store_relay,
     store_watcher,
     view,
     wsgi_app,
     zone_health,
 )
-from corianderrill.platform import requests, settings, store, store_relay
+from corianderrill.platform import requests, settings, store
 
 LOG_FLUSH_INTERVAL_S = 0.1
 EXPIRY_CHECK_INTERVAL_S = 0.25
--- a/corianderrill/platform/store_relay.py
+++ b/corianderrill/gateway/store_relay.py
@@ -1,12 +1,9 @@
-"""Answers watches and probes of other hosts, in the format of the platform's store."""
+"""Answers watches and probes of other hosts in place of the platform's store."""
 
-import base64
 import dataclasses
-import urllib.parse
 from collections.abc import Callable
 
 import eventlet
-import msgspec
 
 from corianderrill.gateway import change_history, view
 from corianderrill.platform import store
@@ -34,17 +31,13 @@
 
     def answer(self, path: str, query_text: str) -> bytes | None:
         """Return the reply to a call; None if the caller should ask the store."""
-        query = dict(urllib.parse.parse_qsl(query_text))
-        try:
-            after = view.StoreRevision(int(query.get("after", 0)))
-            wait_s = min(int(query.get("wait_ms", 0)) / 1000, MAX_WAIT_S)
-        except ValueError:
-            return None
-        if path == store.RANGE_PATH and query.get("prefix") == store.EMPTY_PREFIX:
-            return self._encode([]) if self._is_current() else None
-        if path == store.WATCH_PATH:
-            return self._watch(after, wait_s)
-        return None
+        match store.parse_call(path, query_text):
+            case store.ProbeCall():
+                return self._encode([]) if self._is_current() else None
+            case store.WatchCall(after=after, wait_s=wait_s):
+                return self._watch(after, min(wait_s, MAX_WAIT_S))
+            case _:
+                return None
 
     def _is_current(self) -> bool:
         age_s = self.view.get_age_s(self.clock())
@@ -60,20 +53,6 @@
             return None
         return self._encode(self.history.list_after(after))
 
-    def _encode(self, items: list[store.Item]) -> bytes:
+    def _encode(self, changes: list[store.Item]) -> bytes:
         untrusted_s = self.view.removals_untrusted_until - self.clock()
-        return msgspec.json.encode(
-            {
-                "items": [],
-                "events": [_convert_item(item) for item in items],
-                "at": self.history.revision,
-                "removals_untrusted_ms": max(round(1000 * untrusted_s), 0),
-            }
-        )
-
-
-def _convert_item(item: store.Item) -> dict[str, object]:
-    if item.value is None:
-        return {"key": item.key, "revision": item.revision, "deleted": True}
-    value = base64.b64encode(item.value).decode()
-    return {"key": item.key, "revision": item.revision, "value": value}
+        return store.encode_reply(changes, self.history.revision, max(untrusted_s, 0.0))
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import socket
+import urllib.parse
 from collections.abc import Collection
 from typing import NewType
 
@@ -91,6 +92,19 @@
     removals_untrusted_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeCall:
+    """A call for the store's revision."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchCall:
+    """A call that waits up to `wait_s` for changes after a revision."""
+
+    after: view.StoreRevision
+    wait_s: float
+
+
 class _WireItem(msgspec.Struct):
     key: str
     revision: int
@@ -276,6 +290,40 @@
             raise StoreError(FailureKind.MALFORMED, str(error)) from error
 
 
+def parse_call(path: str, query_text: str) -> ProbeCall | WatchCall | None:
+    """Return the call that another host sent in place of the store; None if unknown."""
+    query = dict(urllib.parse.parse_qsl(query_text))
+    if path == RANGE_PATH and query.get("prefix") == EMPTY_PREFIX:
+        return ProbeCall()
+    try:
+        after = view.StoreRevision(int(query["after"]))
+        wait_s = int(query["wait_ms"]) / 1000
+    except (KeyError, ValueError):
+        return None
+    return WatchCall(after, wait_s) if path == WATCH_PATH else None
+
+
+def encode_reply(
+    changes: list[Item], revision: view.StoreRevision, removals_untrusted_s: float
+) -> bytes:
+    """Return the reply to a probe or a watch of another host."""
+    return msgspec.json.encode(
+        {
+            "items": [],
+            "events": [_encode_item(item) for item in changes],
+            "at": revision,
+            "removals_untrusted_ms": round(1000 * removals_untrusted_s),
+        }
+    )
+
+
+def _encode_item(item: Item) -> dict[str, object]:
+    if item.value is None:
+        return {"key": item.key, "revision": item.revision, "deleted": True}
+    value = base64.b64encode(item.value).decode()
+    return {"key": item.key, "revision": item.revision, "value": value}
+
+
 def _read_body(reply: urllib3.BaseHTTPResponse) -> bytes:
     """Return the body; close the connection of one that is too large."""
     try:
--- a/tests/test_platform_store_relay.py
+++ b/tests/test_gateway_store_relay.py
@@ -5,8 +5,8 @@
 import eventlet
 import pytest
 
-from corianderrill.gateway import change_history
-from corianderrill.platform import store, store_relay
+from corianderrill.gateway import change_history, store_relay
+from corianderrill.platform import store
 from tests.utils import gateway_builders as builders
 
 TIMEOUT_S = 5.0
