Refuse as not run what reached no replica by its deadline

Cause: a request whose attempts had all waited for a connection ended with 504, which promises nothing, though unsent attempts are withdrawn at that moment. Change: 503, unless an attempt was sent or a delegation is open. Test in virtual time failed first (timed out).

--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -586,7 +586,7 @@
         elif now >= self.deadline_at:
             has_enough_parts = succeeded >= self._required_count
             self._finish(
-                RequestOutcome.PARTIAL if has_enough_parts else RequestOutcome.TIMED_OUT
+                RequestOutcome.PARTIAL if has_enough_parts else self._classify_timeout()
             )
         elif succeeded >= self._required_count and self._should_answer_partially(now):
             self._finish(RequestOutcome.PARTIAL)
@@ -602,6 +602,15 @@
             return True
         return self.goal_at <= now < self.goal_at + ANSWER_DELIVERY_MARGIN_S
 
+    def _classify_timeout(self) -> RequestOutcome:
+        """Return `NOT_EXECUTED` if nothing was sent, since the rest is withdrawn."""
+        outcome = self._classify_failure()
+        if outcome is RequestOutcome.NOT_EXECUTED and not any(
+            sub_request.is_delegated for sub_request in self.sub_requests
+        ):
+            return outcome
+        return RequestOutcome.TIMED_OUT
+
     def _classify_failure(self) -> RequestOutcome:
         if len(self.sub_requests) == 1 and self.sub_requests[0].error_reply is not None:
             return RequestOutcome.ERROR_REPLY
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -392,3 +392,25 @@
     site = start_query_with_varied_latency(unresponsive_count=12)
     site.loop.run_until(0.1)
     assert site.coordinators[0].extra_attempts == 0
+
+
+def ask_once_with_all_replicas(until_s=3.0, **windows):
+    site = virtual_servers.Site(
+        target=routes.SingleService(names.ServiceName("shard-0")), max_attempts=1
+    )
+    for server in site.servers:
+        for name, window in windows.items():
+            setattr(server, name, window)
+    site.ask()
+    site.loop.run_until(until_s)
+    return site.ended[0].outcome
+
+
+def test_request_that_reached_no_replica_by_its_deadline_is_refused_as_not_run():
+    outcome = ask_once_with_all_replicas(dark=[(0.0, 30.0)])
+    assert outcome is coordinator.RequestOutcome.NOT_EXECUTED
+
+
+def test_request_that_a_replica_may_have_got_by_its_deadline_is_not_refused():
+    outcome = ask_once_with_all_replicas(silent=[(0.0, 30.0)])
+    assert outcome is coordinator.RequestOutcome.TIMED_OUT
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -80,6 +80,7 @@
     slow: list = dataclasses.field(default_factory=list)
     silent: list = dataclasses.field(default_factory=list)
     down: list = dataclasses.field(default_factory=list)
+    dark: list = dataclasses.field(default_factory=list)
     shed_share: float = 0.0
     fail_share: float = 0.0
     arrivals: int = 0
@@ -185,6 +186,10 @@
         if sender.ended_at is not None:
             self._free_connection()
             return
+        if self.server.is_in(self.server.dark):
+            # The connection is not opened before the request ends.
+            self._free_connection()
+            return
         if self.server.is_in(self.server.down):
             self._free_connection()
             sender.on_result(
