Send the queue of a pool at once when its replica has recovered

Cause: each reply sent one queued request, so the number in flight stayed at the low of a crunch while requests waited and the limit had grown; newer requests overtook them. Change: a reply or a closed connection sends as many as connections and limit allow. The test failed first.

--- a/corianderrill/gateway/pools.py
+++ b/corianderrill/gateway/pools.py
@@ -19,7 +19,6 @@
 # A pool to another zone that is limited to `MIN_OTHER_ZONE_CONNECTIONS` closes its idle
 # connection after this time, so that other hosts can connect.
 OTHER_ZONE_MAX_IDLE_S = 1.0
-
 # However slow a replica is, a host may use this share of its slots at once.
 MIN_CONCURRENCY_SLOT_SHARE = 0.5
 
@@ -101,26 +100,30 @@
         return None
 
     def release(self, connection: connections.Connection) -> None:
-        """Store an idle connection, or send a queued request on it."""
-        if self._queue and self.concurrency.allows(self.count_pending() - 1):
-            request = self._queue.pop(loop.read_clock())
-            request.attach(connection)
-            connection.send(request)
-            return
+        """Store an idle connection, and send what is queued."""
         self._idle.append(connection)
+        self._send_queued()
 
     def discard(self, connection: connections.Connection) -> None:
-        """Remove a closed connection; open a new one if a request is queued."""
+        """Remove a closed connection, and send what is queued."""
         self._connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
-        if (
-            self._queue
-            and len(self._connections) < self.max_connections
-            and self.concurrency.allows(self.count_pending())
-        ):
+        self._send_queued()
+
+    def _send_queued(self) -> None:
+        """Send queued requests, as many as connections and concurrency allow."""
+        while self._queue and self.concurrency.allows(self.count_pending()):
             request = self._queue.pop(loop.read_clock())
-            request.attach(self._open(request))
+            connection = self._acquire_idle(request)
+            if connection is not None:
+                request.attach(connection)
+                connection.send(request)
+            elif len(self._connections) < self.max_connections:
+                request.attach(self._open(request))
+            else:
+                self._queue.add(request)
+                return
 
     def cancel_queued(self, request: connections.OutboundRequest) -> None:
         """Remove a request from the queue."""
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -313,6 +313,24 @@
         assert pool.opened_count == 1
 
 
+def test_queue_is_sent_at_once_when_the_replica_has_recovered():
+    def answer(connection):
+        while servers.read_request(connection):
+            eventlet.sleep(SETTLE_S)
+            connection.sendall(servers.REPLY)
+
+    with servers.serve(answer, answer) as pool:
+        pool.set_slots(2)
+        pool.concurrency.limit = 1.0
+        requests = [servers.send(pool) for _ in range(3)]
+        pool.concurrency.limit = 8.0
+        requests[0].wait()
+        eventlet.sleep(SETTLE_S / 2)
+        assert all(request.was_sent for request in requests)
+        for request in requests[1:]:
+            request.wait()
+
+
 def test_aborted_request_closes_its_connection():
     closed = eventlet.event.Event()
 
