--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -13,6 +13,7 @@
 from corianderrill.standins import platform
 
 READY_WITHIN_S = 60.0
+ZONES = ("zone-a", "zone-b")
 STEP_S = 0.02
 ERROR_EVENT = b'"event":"internal-error"'
 
@@ -27,10 +28,11 @@
         history: records.History,
         store_at: names.Address,
         repeat_fixed: float,
+        has_aggregators: bool,
     ) -> None:
         self.name = records.HostName(f"front-{number}")
         self._history = history
-        front, ready, self._metrics = ports.find_free_addresses(3)
+        front, ready, self._metrics, between = ports.find_free_addresses(4)
         self.callers_link = links.Link(front)
         self.store_link = links.Link(store_at)
         self.door = callers.Door(self.name, str(self.callers_link.address), str(ready))
@@ -39,7 +41,7 @@
         self._errors = directory / f"{self.name}.err"
         self._text = platform.HostSettingsFile(
             name=self.name,
-            zone=f"zone-{'ab'[number % 2]}",
+            zone=ZONES[number % len(ZONES)],
             listen_address=str(front),
             readiness_address=str(ready),
             store_address=str(self.store_link.address),
@@ -48,6 +50,8 @@
             config_apply_ms=int(1000 * checks.APPLY_S),
             retry_ratio=checks.REPEAT_RATIO,
             retry_slack=int(repeat_fixed),
+            port_range=[between.port, between.port] if has_aggregators else [],
+            zones=ZONES,
         ).render()
         self._child: processes.Child | None = None
         self._pauses = 0
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -21,7 +21,6 @@
 )
 from corianderrill.standins import platform
 
-ZONES = ("zone-a", "zone-b")
 REPLICAS_A_SHARD = 3
 REPLICAS_A_DESK = 2
 DESKS = tuple(records.ServiceName(f"desk-{number}") for number in range(4))
@@ -41,6 +40,8 @@
 GOAL_MS = 300
 FIXED_BASE = 40
 FIXED_A_HOST = 2
+# Sized for as many hosts as make gateways want aggregators.
+FIXED_WITH_AGGREGATORS = 200.0
 
 Undo = Callable[[], None]
 
@@ -83,6 +84,7 @@
     shards: int = 6
     callers: int = 16
     per_s: float = 30.0
+    has_aggregators: bool = False
 
 
 class Rig:
@@ -95,7 +97,9 @@
         shards = (f"shard-{number}" for number in range(size.shards))
         self.setting = checks.Setting(
             tuple(map(records.ServiceName, shards)),
-            FIXED_BASE + FIXED_A_HOST * size.hosts,
+            FIXED_WITH_AGGREGATORS
+            if size.has_aggregators
+            else FIXED_BASE + FIXED_A_HOST * size.hosts,
         )
         self.store = platform.FakeStore()
         self._version = 0
@@ -116,6 +120,7 @@
                 self.history,
                 self.store.address,
                 self.setting.repeat_fixed,
+                size.has_aggregators,
             )
             for number in range(size.hosts)
         ]
@@ -124,7 +129,7 @@
         self.lag_s = 0.0
 
     def _build_server(self, service: str, number: int) -> servers.Server:
-        zone = ZONES[number % len(ZONES)]
+        zone = hosts.ZONES[number % len(hosts.ZONES)]
         return servers.Server(service, zone, self.history, self._rng)
 
     def run(self, seconds: float, plan: tuple[faults.Fault, ...]) -> None:
@@ -356,7 +361,7 @@
     def _replace(self, server: servers.Server) -> None:
         """Start a server in the place of another, which drains and leaves."""
         server.is_leaving = True
-        number = ZONES.index(server.zone)
+        number = hosts.ZONES.index(server.zone)
         fresh = self._build_server(server.service, number)
         self._servers.append(fresh)
         fresh.register(self.store)
--- a/benchmarks/gateways/soak.py
+++ b/benchmarks/gateways/soak.py
@@ -85,6 +85,9 @@
     seconds: Annotated[float, typer.Option(min=5.0, help="Length of the run.")] = 30.0,
     hosts: Annotated[int, typer.Option(min=1, max=300, help="Gateways.")] = 4,
     per_s: Annotated[float, typer.Option(min=1.0, help="Requests a second.")] = 30.0,
+    aggregators: Annotated[
+        bool, typer.Option(help="Let gateways delegate queries to aggregators.")
+    ] = False,
     only: Annotated[
         list[faults.Kind] | None, typer.Option(help="Only faults of these kinds.")
     ] = None,
@@ -95,7 +98,7 @@
     report = run(
         seed,
         seconds,
-        rig.Size(hosts=hosts, per_s=per_s),
+        rig.Size(hosts=hosts, per_s=per_s, has_aggregators=aggregators),
         directory,
         tuple(only or faults.Kind),
     )
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -38,6 +38,8 @@
 config_apply_ms = {config_apply_ms}
 retry_ratio = {retry_ratio}
 retry_slack = {retry_slack}
+[zones]
+{zone_lines}
 [limits]
 cpu_share = {cpu_share}
 cores = 1
@@ -62,10 +64,12 @@
     retry_slack: int
     port_range: list[int] = dataclasses.field(default_factory=list)
     cpu_share: float = 1.0
+    zones: tuple[str, ...] = ()
 
     def render(self) -> str:
         """Return the text of the file."""
-        return _SETTINGS.format(**dataclasses.asdict(self))
+        zone_lines = "\n".join(f'{zone} = "region"' for zone in self.zones)
+        return _SETTINGS.format(**dataclasses.asdict(self), zone_lines=zone_lines)
 
 
 class LoopbackServer:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,6 +35,16 @@
     assert report.asked > 0
 
 
+def test_gateways_with_aggregators_keep_their_promises_among_faults(tmp_path):
+    # A host delegates only once its retry budget has a window behind it.
+    size = dataclasses.replace(SIZE, hosts=4, has_aggregators=True)
+    report = soak.run(3, 2.2 * SECONDS, size, tmp_path)
+    broken = [b for b in report.broken if b.check in TIMELESS]
+    assert broken == []
+    logs = "".join(path.read_text() for path in tmp_path.glob("front-*.log"))
+    assert '"event":"delegated"' in logs
+
+
 def test_report_counts_every_request_once(tmp_path):
     kinds = (faults.Kind.STORE_GARBAGE,)
     report = soak.run(2, 5.0, dataclasses.replace(SIZE, hosts=1), tmp_path, kinds)
