--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import socket
 import urllib.parse
 from collections.abc import Iterable, Sequence
 from typing import Any
@@ -126,7 +127,8 @@
 class FakeStore(LoopbackServer):
     """A key-value store with revisions, leases, paged reads and long-poll watches.
 
-    While `is_down` is set, all calls get status 503. From `fall_silent` until
+    While `is_down` is set, all calls get status 503; while `is_resetting` is set, their
+    connections are closed. From `fall_silent` until
     `end_silence`, no call is answered, and those that were open then never are. After
     `compact_history`, watches from an earlier revision get status 410. After
     `snapshot_for_stale_reads`, range reads that allow stale data are answered from the
@@ -136,6 +138,7 @@
     def __init__(self) -> None:
         self.revision = 1
         self.is_down = False
+        self.is_resetting = False
         self._is_silent = False
         self._silence_count = 0
         self.call_count = 0
@@ -200,6 +203,9 @@
 
     def handle_request(self, environ: dict[str, Any]) -> HttpResponse:
         """Answer a call of the store client, unless the store falls silent."""
+        if self.is_resetting:
+            environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+            return "503 Service Unavailable", {}, b""
         silence_count = self._silence_count
         response = None if self._is_silent else self._answer(environ)
         if self._is_silent or silence_count != self._silence_count:
