Leave out an aggregator's answer that comes after the outcome

Change: only answers taken before the outcome. Terms of a delegated query with times that are not finite are refused. The test failed first (10 signatures for 8 shards).

--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -116,6 +116,8 @@
         ]
         self._mode = mode
         self._delegations: list[delegation.Delegation] = []
+        # Without answers that come after the outcome, while the response is built.
+        self._answers: list[delegation_messages.Answer] = []
         self.outcome: RequestOutcome | None = None
         self._succeeded_count = 0
         self._done_count = 0
@@ -247,6 +249,7 @@
             self._set_timer(self.loop.now())
 
     def _take_answer(self, ended: delegation.Delegation) -> None:
+        self._answers.append(ended.answer)
         for sub_request in ended.sub_requests:
             if sub_request.index in ended.answer.shards:
                 sub_request.is_in_answer = True
@@ -274,13 +277,12 @@
     def collect_parts(self) -> Parts:
         """Return the parts that were received, for the answer."""
         direct = [s for s in self.sub_requests if s.reply is not None]
-        answers = [d.answer for d in self._delegations if d.answer is not None]
         return Parts(
             signatures=[
                 *(s.reply.signature for s in direct),
-                *itertools.chain.from_iterable(a.signatures for a in answers),
+                *itertools.chain.from_iterable(a.signatures for a in self._answers),
             ],
-            bodies=[*(s.reply.body for s in direct), *(a.body for a in answers)],
+            bodies=[*(s.reply.body for s in direct), *(a.body for a in self._answers)],
             shards=[s.index for s in self.sub_requests if s.has_part],
         )
 
--- a/corianderrill/gateway/delegation_messages.py
+++ b/corianderrill/gateway/delegation_messages.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable, Sequence
 
 from corianderrill import names
@@ -96,7 +97,7 @@
 def parse_terms(headers: Sequence[tuple[str, str]]) -> Terms:
     """Return the terms of a delegated query. Raise MessageError if they are invalid."""
     try:
-        return Terms(
+        terms = Terms(
             version=routes.ConfigurationVersion(int(_get(headers, VERSION_HEADER))),
             shards=_decode_shards(_get(headers, SHARDS_HEADER)),
             min_parts=int(_get(headers, MIN_PARTS_HEADER)),
@@ -106,6 +107,9 @@
         )
     except ValueError as error:
         raise MessageError(str(error)) from error
+    if not math.isfinite(terms.goal_s) or not math.isfinite(terms.hedge_after_s):
+        raise MessageError("expected finite times")
+    return terms
 
 
 def _get(headers: Sequence[tuple[str, str]], name: str) -> str:
--- a/tests/test_gateway_delegation.py
+++ b/tests/test_gateway_delegation.py
@@ -4,6 +4,8 @@
 query to may refuse, be unreachable, paused, killed or confused.
 """
 
+import dataclasses
+
 import pytest
 
 from corianderrill import names
@@ -132,6 +134,24 @@
     assert query.collect_parts().shards == list(range(1, SHARDS))
 
 
+def test_answer_that_comes_after_the_outcome_adds_nothing_to_the_parts():
+    """The answer is sent a moment after the outcome was decided at the goal."""
+    site, _ = build_site(mode=delegation.Mode.OTHER_ZONES)
+    address = names.Address("10.0.1.9", 7420)
+    other = virtual_aggregators.add_to(site, "zone-b", 0, address)
+    other.work_s = 2 * site.route.goal_s
+    for server in site.servers[:6]:
+        if server.zone == "zone-a":
+            site.remove(server)
+    site.route = dataclasses.replace(
+        site.route, target=dataclasses.replace(site.route.target, min_coverage=0.8)
+    )
+    query, ended = ask_once(site)
+    assert ended.outcome is Outcome.PARTIAL
+    parts = query.collect_parts()
+    assert len(parts.signatures) == len(parts.shards) == SHARDS - 2
+
+
 def test_caller_that_leaves_cancels_the_delegated_query():
     site, aggregator = build_site(behavior=Behavior.STAY_SILENT_ONCE_CONFIRMED)
     query = site.ask()
--- a/tests/test_gateway_delegation_messages.py
+++ b/tests/test_gateway_delegation_messages.py
@@ -63,6 +63,14 @@
             ("X-Query-Hedge-After-Ms", "1"),
             ("X-Query-May-Delegate", "1"),
         ],
+        [
+            ("X-Query-Version", "1"),
+            ("X-Query-Shards", "1"),
+            ("X-Query-Min-Parts", "1"),
+            ("X-Query-Goal-Ms", "inf"),
+            ("X-Query-Hedge-After-Ms", "1"),
+            ("X-Query-May-Delegate", "1"),
+        ],
     ],
 )
 def test_invalid_terms_are_an_error(headers):
