--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -93,6 +93,23 @@
             eventlet.sleep(gateway_rig.POLL_INTERVAL_S)
 
 
+# Guards against a host that stays on an old configuration for as long as a watch may
+# wait, because the watch that follows a change went to a store that had just fallen
+# silent.
+def test_watch_sent_after_the_store_fell_silent_does_not_delay_later_changes(rig):
+    rig.publish_configuration(version=5, single={"prefix": "/before/"})
+    rig.wait_until(lambda: rig.send_request("/before/x")[0].status == 200)
+    rig.store.fall_silent()
+    rig.publish_configuration(version=6, single={"prefix": "/meanwhile/"})
+    eventlet.sleep(2.0)
+    rig.store.end_silence()
+    rig.publish_configuration(version=7, single={"prefix": "/afterwards/"})
+    with eventlet.Timeout(gateway_rig.CONFIG_APPLY_S + gateway_rig.CONTACT_S):
+        while rig.send_request("/afterwards/x")[0].status != 200:
+            eventlet.sleep(gateway_rig.POLL_INTERVAL_S)
+    assert rig.send_request("/before/x")[0].status == 404
+
+
 def test_unknown_route_is_refused_as_not_run_while_the_store_is_silent(rig):
     rig.store.fall_silent()
     rig.wait_until(lambda: rig.send_request("/other/x")[0].status == 503)
