--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -60,6 +60,12 @@
 # Used for a service that the configuration does not list.
 DEFAULT_MAX_CONNECTIONS = 16
 
+# Such a reply may come from another server, or belong to another request.
+_OUTCOMES_OF_OTHER_SENDERS = (
+    replies.AttemptOutcome.UNUSABLE,
+    replies.AttemptOutcome.MISDIRECTED,
+)
+
 
 class RequestOutcome(enum.Enum):
     """The final outcome of a request.
@@ -418,6 +424,8 @@
             case connections.RawReply():
                 reply = requests.decode_reply(result)
                 outcome = replies.classify_reply(reply, self.request.id)
+                if outcome not in _OUTCOMES_OF_OTHER_SENDERS:
+                    self.tools.rate_limits.record_reply(attempt.replica, reply)
             case connections.FailedExchange(sent=sent):
                 reply = None
                 outcome = (
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -166,6 +166,21 @@
     replica: str
 
 
+class RateLimitSeen(msgspec.Struct, tag="rate-limit", tag_field="event"):
+    """A replica named a rate limit, another one than before, or none any more.
+
+    `per_s` is the limit for all hosts together, in requests a second; it is None if
+    the replica names none any more. `outcome` is "applied", "lifted" or "invalid".
+    """
+
+    replica: str
+    service: str
+    per_s: float | None
+    before_per_s: float | None
+    outcome: str
+    detail: str = ""
+
+
 class EntrySkipped(msgspec.Struct, tag="entry-skipped", tag_field="event"):
     """An entry of the store was ignored because it is invalid or was removed."""
 
@@ -284,6 +299,7 @@
     | QueryDelegated
     | DelegatedQueryEnded
     | ZoneSuspected
+    | RateLimitSeen
     | EntrySkipped
     | RequestEnded
     | RequestRefused
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -21,6 +21,7 @@
     loop,
     pools,
     query_rate,
+    rate_limits,
     retry_budget,
     scrape,
     shared_state,
@@ -82,18 +83,20 @@
         # Not seeded: each host draws different numbers; no result needs a fixed order.
         rng = random.Random()
         self._pools = pools.PoolManager(retry_budget.MIN_HOSTS)
+        meter = metrics.Recorder()
         self._shared = shared_state.SharedState(
             zone=host_settings.zone,
             view=self._view,
             pools=self._pools,
             retry_budget=retry_budget.RetryBudget(0.0, 0.0, loop.read_clock()),
             log=self.log,
-            meter=metrics.Recorder(),
+            meter=meter,
             loop=loop.EventletLoop(),
             rng=rng,
             zone_detector=zone_health.ZoneFailureDetector(),
             aggregators=aggregators.AggregatorDirectory(host_settings.host),
             query_rate=query_rate.QueryRate(),
+            rate_limits=rate_limits.RateLimits(self.log, meter),
         )
         self._app = wsgi_app.GatewayApp(self._shared)
         history = change_history.ChangeHistory()
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -83,7 +83,8 @@
 
     Times are in seconds of this host's monotonic clock. `pending_attempts` maps each
     attempt without an outcome to its start. The weights are counts of outcomes that
-    decay with time.
+    decay with time. `rate_limit_per_s` is how many requests a second the replica takes
+    from all hosts together, None without a limit.
     """
 
     registration: Registration
@@ -103,6 +104,7 @@
     consecutive_connect_failures: int = 0
     connect_backoff_until: float = 0.0
     is_replaced: bool = False
+    rate_limit_per_s: float | None = None
 
     @property
     def id(self) -> InstanceId:
--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -23,13 +23,27 @@
     UNSENT = "unsent"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """A rate limit that a replica names, for the requests of all hosts together."""
+
+    requests_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InvalidRateLimit:
+    """A rate limit that is not a number of requests a second."""
+
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """A complete, decoded reply.
 
     `signature` proves which replica sent the reply; `echoed_request_id` names the
     request that it answers. `not_executed` and `is_misdirected` say that the server
-    did not execute the request.
+    did not execute the request. `rate_limit` is None if the replica names none.
     """
 
     status: int
@@ -40,6 +54,7 @@
     not_executed: bool
     is_misdirected: bool
     has_content_encoding: bool
+    rate_limit: RateLimit | InvalidRateLimit | None = None
 
 
 def classify_reply(reply: Reply, request_id: names.RequestId) -> AttemptOutcome:
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -19,6 +19,8 @@
     meter.set(metrics.REVISION, version)
     meter.set(metrics.GATEWAY_IN_FLIGHT, front_end.in_flight)
     meter.set(metrics.GATEWAY_CONNECTIONS, shared.pools.count_opened())
+    limited_count = len(shared.view.list_rate_limited())
+    meter.set(metrics.GATEWAY_RATE_LIMITED_REPLICAS, limited_count)
     meter.set(metrics.GATEWAY_STORE_CALLS, watcher.client.call_count)
     now = loop.read_clock()
     silent_s = now - watcher.last_reply_at
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -11,6 +11,7 @@
     loop,
     pools,
     query_rate,
+    rate_limits,
     retry_budget,
     routes,
     view,
@@ -35,6 +36,7 @@
     zone_detector: zone_health.ZoneFailureDetector
     aggregators: aggregators.AggregatorDirectory
     query_rate: query_rate.QueryRate
+    rate_limits: rate_limits.RateLimits
     aggregator_pools: dict[names.Address, pools.ConnectionPool] = dataclasses.field(
         default_factory=dict
     )
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -181,6 +181,14 @@
             if entry.replica
         }
 
+    def list_rate_limited(self) -> list[replicas.Replica]:
+        """Return the replicas that name a rate limit."""
+        return [
+            entry.replica
+            for entry in self._entries.values()
+            if entry.replica is not None and entry.replica.rate_limit_per_s is not None
+        ]
+
     def list_ready(self, service: names.ServiceName) -> list[replicas.Replica]:
         """Return the replicas of a service that are registered as ready."""
         if not self._ready_by_service:
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -206,6 +206,12 @@
     ("outcome",),
     32,
 )
+GATEWAY_RATE_LIMITS = _count(
+    "gateway_rate_limits", "Rate limits named by replicas.", ("outcome",), 4
+)
+GATEWAY_RATE_LIMITED_REPLICAS = _gauge(
+    "gateway_rate_limited_replicas", "Replicas that name a rate limit."
+)
 GATEWAY_IN_FLIGHT = _gauge("gateway_in_flight", "Requests without an answer.")
 GATEWAY_CONNECTIONS = _gauge(
     "gateway_connections_opened", "Connections opened to addresses in use."
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import re
 from collections.abc import Iterable, Sequence
 
 from corianderrill import names
@@ -22,6 +23,8 @@
 _NOT_EXECUTED_REPLY_HEADER = b"x-not-executed"
 _REQUEST_ID_REPLY_HEADER = b"x-request-id"
 _CONTENT_ENCODING_REPLY_HEADER = b"content-encoding"
+# The requests a second that a replica in need accepts from all hosts together.
+_RATE_LIMIT_REPLY_HEADER = b"server-limit"
 # Headers that are not forwarded; those listed in the Connection header are not either.
 # The gateway writes Content-Length itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -33,6 +36,7 @@
 )
 # Tells the sender of a request that it was not executed.
 NOT_EXECUTED_HEADER = ("X-Not-Executed", "1")
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 # Replaced on a sub-request by values of the gateway.
 _OVERWRITTEN_HEADERS = frozenset(
     (DEADLINE_MS_HEADER.lower(), EXPECT_INSTANCE_HEADER.lower())
@@ -146,9 +150,21 @@
         not_executed=_NOT_EXECUTED_REPLY_HEADER in headers_by_name,
         is_misdirected=is_misdirected,
         has_content_encoding=_CONTENT_ENCODING_REPLY_HEADER in headers_by_name,
+        rate_limit=_decode_rate_limit(headers_by_name.get(_RATE_LIMIT_REPLY_HEADER)),
     )
 
 
+def _decode_rate_limit(
+    value: bytes | None,
+) -> replies.RateLimit | replies.InvalidRateLimit | None:
+    if value is None:
+        return None
+    text = value.decode("latin-1").strip()
+    if not _DECIMAL_NUMBER.fullmatch(text):
+        return replies.InvalidRateLimit(text)
+    return replies.RateLimit(float(text))
+
+
 def says_not_executed(raw: connections.RawReply) -> bool:
     """Return whether a reply says that the request was not executed."""
     return _NOT_EXECUTED_REPLY_HEADER in dict(raw.headers)
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -18,6 +18,7 @@
     event_log,
     pools,
     query_rate,
+    rate_limits,
     retry_budget,
     routes,
     send_queue,
@@ -311,18 +312,21 @@
                 f"i-{index}", service, zone, address=address
             )
             belief.apply_registration(registration, index + 2, 0.0)
+        log = Silence()
+        meter = metrics.Recorder()
         self.tools = shared_state.SharedState(
             zone=names.ZoneName(ZONES[0]),
             view=belief,
             pools=virtual_pools,
             retry_budget=retry_budget.build_retry_budget(0.2, fixed, -60.0),
-            log=Silence(),
-            meter=metrics.Recorder(),
+            log=log,
+            meter=meter,
             loop=self.loop,
             rng=self.rng,
             zone_detector=zone_health.ZoneFailureDetector(),
             aggregators=builders.build_aggregator_directory(),
             query_rate=query_rate.QueryRate(),
+            rate_limits=rate_limits.RateLimits(log, meter),
         )
         self.ended = []
         self.coordinators = []
