--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -68,7 +68,12 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class VirtualServer:
-    """One replica; `slow` windows are (from, until, factor)."""
+    """One replica; `slow` windows are (from, until, factor).
+
+    `limits` windows are (from, until, requests a second from all hosts). `log` holds
+    the time and the host of each arrival, `told_at` when each host first got a reply
+    with a limit.
+    """
 
     loop: VirtualLoop
     rng: random.Random
@@ -84,7 +89,10 @@
     dark: list = dataclasses.field(default_factory=list)
     shed_share: float = 0.0
     fail_share: float = 0.0
+    limits: list = dataclasses.field(default_factory=list)
     arrivals: int = 0
+    log: list = dataclasses.field(default_factory=list)
+    told_at: dict = dataclasses.field(default_factory=dict)
     _free_at: list = dataclasses.field(default_factory=list)
 
     def __post_init__(self):
@@ -99,6 +107,11 @@
         factors = [f for start, end, f in self.slow if start <= now < end]
         return max(factors, default=1.0)
 
+    def limit(self):
+        now = self.loop.now()
+        limits = [limit for start, end, limit in self.limits if start <= now < end]
+        return min(limits, default=None)
+
     def work(self, mean_s):
         """Return when a request that arrives now is done; None if it is shed."""
         now = self.loop.now()
@@ -144,8 +157,9 @@
 
     max_connections = 8
 
-    def __init__(self, server, own_zone, mean_s, link):
+    def __init__(self, server, own_zone, mean_s, link, host="front-1"):
         self.server = server
+        self.host = host
         self.link = link
         self.mean_s = mean_s
         self.way_s = 0.0001 if server.zone == own_zone else OTHER_ZONE_S
@@ -207,6 +221,7 @@
     def _arrive(self, sender):
         server = self.server
         server.arrivals += 1
+        server.log.append((server.loop.now(), self.host))
         drawn = server.rng.random()
         done = None if drawn < server.shed_share else server.work(self.mean_s)
         if done is None:
@@ -215,7 +230,8 @@
         left_s = done - server.loop.now()
         failed = server.rng.random() < server.fail_share
         status = 500 if failed else 200
-        self._reply_later(left_s, sender, build_reply(sender, status))
+        reply = build_reply(sender, status, server.limit())
+        self._reply_later(left_s, sender, reply)
 
     def _reply_later(self, left_s, sender, reply):
         self.server.loop.call_later(left_s + self.way_s, self._return, sender, reply)
@@ -227,6 +243,8 @@
 
     def _deliver(self, sender, reply):
         self._free_connection()
+        if any(name == b"server-limit" for name, _ in reply.headers):
+            self.server.told_at.setdefault(self.host, self.server.loop.now())
         sender.on_result(reply)
 
 
@@ -234,9 +252,11 @@
     return connections.RawReply(503, [(b"x-not-executed", b"1")], b"")
 
 
-def build_reply(sender, status):
+def build_reply(sender, status, limit=None):
     request_id = sender.owner.request.id.encode()
     headers = [(b"x-request-id", request_id), (b"x-server-stamp", b"signed")]
+    if limit is not None:
+        headers.append((b"server-limit", str(limit).encode()))
     return connections.RawReply(status, headers, b"r" * 16)
 
 
@@ -268,7 +288,10 @@
 
 
 class Site:
-    """Shards with a replica in each zone, and one host in the first zone."""
+    """Shards with a replica in each zone, and one host, in the first zone by default.
+
+    Several hosts may share one `loop` and the `servers` of the first of them.
+    """
 
     def __init__(
         self,
@@ -282,10 +305,15 @@
         target=None,
         reply_s=0.0,
         mode=delegation.Mode.NOTHING,
+        zone=ZONES[0],
+        host="front-1",
+        loop=None,
+        servers=None,
         **route,
     ):
         self.mode = mode
-        self.loop = VirtualLoop()
+        self.host = host
+        self.loop = loop or VirtualLoop()
         self.rng = random.Random(seed)
         services = tuple(names.ServiceName(f"shard-{n}") for n in range(shards))
         target = target or routes.ScatterGather(services, 10, min_coverage)
@@ -299,23 +327,21 @@
         )
         virtual_pools = VirtualPools()
         link = VirtualLink(reply_s)
-        self.servers = []
-        for index, (service, zone) in enumerate(itertools.product(services, ZONES)):
+        places = list(itertools.product(services, ZONES))
+        self.servers = servers or [self._build_server(place) for _, place in places]
+        for index, (service, place) in enumerate(places):
             address = names.Address("10.0.0.1", 8000 + index)
-            server = VirtualServer(self.loop, self.rng, zone)
-            server.pause_at_s = self.rng.random() * server.pause_every_s
-            self.servers.append(server)
             virtual_pools.by_address[address] = VirtualPool(
-                server, ZONES[0], mean_s, link
+                self.servers[index], zone, mean_s, link, host
             )
             registration = builders.build_registration(
-                f"i-{index}", service, zone, address=address
+                f"i-{index}", service, place, address=address
             )
             belief.apply_registration(registration, index + 2, 0.0)
         log = Silence()
         meter = metrics.Recorder()
         self.tools = shared_state.SharedState(
-            zone=names.ZoneName(ZONES[0]),
+            zone=names.ZoneName(zone),
             view=belief,
             pools=virtual_pools,
             retry_budget=retry_budget.build_retry_budget(0.2, fixed, -60.0),
@@ -332,11 +358,16 @@
         self.coordinators = []
         self.asked = 0
 
+    def _build_server(self, zone):
+        server = VirtualServer(self.loop, self.rng, zone)
+        server.pause_at_s = self.rng.random() * server.pause_every_s
+        return server
+
     def ask(self):
         """Send one request now."""
         self.asked += 1
         inbound = requests.InboundRequest(
-            id=names.RequestId(f"q-{self.asked}"),
+            id=names.RequestId(f"q-{self.host}-{self.asked}"),
             method="GET",
             target="/a/x",
             host=builders.HOST,
@@ -380,10 +411,13 @@
 
     def run(self, per_s, until_s):
         """Send requests at random times, then let all of them end."""
-        at = 0.0
+        self.schedule(per_s, 0.0, until_s)
+        self.loop.run_until(until_s + 2.0)
+
+    def schedule(self, per_s, at, until_s):
+        """Send requests at random times between two times, once the loop runs."""
         while (at := at + self.rng.expovariate(per_s)) < until_s:
             self.loop.call_later(at, self.ask)
-        self.loop.run_until(until_s + 2.0)
 
     def compute_on_time_share(self, since_s=0.0):
         """Return the share of requests with a success within the goal."""
