--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -241,6 +241,9 @@
             )
             body = top_records.merge_top_records(parts.bodies, query.route.target.top_k)
             return wsgi_app.Response(200, headers, body)
+        case coordinator.RequestOutcome.NOT_EXECUTED if query.retry_after_s is not None:
+            headers = delegation_messages.list_limited_headers(query.retry_after_s)
+            return wsgi_app.Response(503, headers, b"")
         case coordinator.RequestOutcome.NOT_EXECUTED:
             return wsgi_app.Response(503, [requests.NOT_EXECUTED_HEADER], b"")
         case _:
--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -45,12 +45,14 @@
     """One attempt to get a reply from one replica.
 
     `started_at` is when the connection pool got it, `sent_at` when a connection began
-    to send it.
+    to send it. Until `send_timer` fires, it waits for the rate limit of its replica,
+    where it `has_reservation` until it is sent or given up.
     """
 
     __slots__ = (
         *("owner", "sub_request", "replica", "reason", "started_at", "sent_at"),
         *("ended_at", "outcome", "connection", "pool", "idempotent"),
+        *("send_timer", "has_reservation"),
     )
 
     def __init__(
@@ -72,6 +74,8 @@
         self.connection: connections.Connection | None = None
         self.pool: pools.ConnectionPool | None = None
         self.idempotent = owner.is_idempotent
+        self.send_timer: loop.Timer | None = None
+        self.has_reservation = False
 
     def render(self) -> bytes:
         """Return the bytes of the request, with its remaining time as the deadline."""
@@ -109,6 +113,8 @@
 
     def cancel(self) -> None:
         """Close the connection of the attempt, or remove it from the pool's queue."""
+        if self.send_timer is not None:
+            self.send_timer.cancel()
         if self.connection is not None:
             self.connection.abort(self)
         elif self.pool is not None:
@@ -128,9 +134,9 @@
     `index` is the position of the service among those of the route. `reply` is the
     first success, `error_reply` the last valid error reply. `is_done` is set on
     success, or when no attempt is pending and none can follow. While `is_delegated`,
-    another host sends the attempts. `is_in_answer` is set if the part came with that
-    host's answer; `lost_delegations` counts hosts that may have sent an attempt and did
-    not answer.
+    another host sends the attempts. `is_limited` is set if no attempt was sent because
+    of rate limits. `is_in_answer` is set if the part came with that host's answer;
+    `lost_delegations` counts hosts that may have sent an attempt and did not answer.
     """
 
     service: names.ServiceName
@@ -140,6 +146,7 @@
     error_reply: replies.Reply | None = None
     is_done: bool = False
     is_delegated: bool = False
+    is_limited: bool = False
     is_in_answer: bool = False
     lost_delegations: int = 0
 
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -20,6 +20,7 @@
     delegation,
     delegation_messages,
     event_log,
+    limit_plan,
     replica_selection,
     replicas,
     replies,
@@ -129,6 +130,9 @@
         self._done_count = 0
         self.extra_attempts = 0
         self.denied_extra_attempts = 0
+        # Set if the query was refused because of rate limits.
+        self.retry_after_s: float | None = None
+        self._postponed: list[attempts.SubRequest] = []
         started_at = request.received_at
         time_limit_s = min(request.time_limit_s, route.timeout_s)
         self.deadline_at = started_at + max(
@@ -161,10 +165,15 @@
             LAST_CHANCE_HEDGE_LEAD_FACTOR * self._latency_estimator.expected_latency_s
         )
         self._last_chance_hedge_at = self.goal_at - lead_s
-        self._start_delegations(now)
-        self._start_first_attempts(
-            [s for s in self.sub_requests if not s.is_delegated and not s.attempts], now
-        )
+        groups = self._plan_delegations(now)
+        delegated = {s for group in groups for s in group.sub_requests}
+        direct = [s for s in self.sub_requests if s not in delegated]
+        # Decided before anything is sent, so that a refusal says truly "not executed".
+        direct = self._hold_back_limited(direct, now)
+        if self._count_possible() >= self._required_count:
+            for group in groups:
+                self._start_delegation(group)
+            self._start_first_attempts(direct, now)
         self._finish_if_decided(self.loop.now())
         if self.outcome is None:
             self._set_timer(self.loop.now())
@@ -179,34 +188,93 @@
             if self.outcome is None and not sub_request.is_done:
                 self._start_attempt(sub_request, "first", now)
 
+    # Rate limits of replicas.
+
+    def _hold_back_limited(
+        self, sub_requests: Sequence[attempts.SubRequest], now: float
+    ) -> Sequence[attempts.SubRequest]:
+        """Return the sub-requests to send now; mark the others as limited and done."""
+        self.tools.request_rates.record(tuple(s.service for s in sub_requests), now)
+        if not self.tools.rate_limits.has_any():
+            return sub_requests
+        needs = {s: self._assess_limits(s, now) for s in sub_requests}
+        plan = self.tools.limit_planner.plan(
+            needs,
+            self._compute_max_delay_s(now),
+            self._count_possible() - self._required_count,
+        )
+        match plan:
+            case limit_plan.Send(
+                now=sent, postponed=postponed, unavailable=unavailable
+            ):
+                self._mark_limited((*postponed, *unavailable))
+                self._postponed = list(postponed)
+                return sent
+            case limit_plan.Refuse(retry_after_s=retry_after_s):
+                self._mark_limited(sub_requests)
+                self.retry_after_s = retry_after_s
+                return ()
+
+    def _mark_limited(self, sub_requests: Iterable[attempts.SubRequest]) -> None:
+        for sub_request in sub_requests:
+            sub_request.is_limited = True
+            self._mark_done(sub_request)
+            self.tools.meter.count(metrics.GATEWAY_LIMITED_SUB_REQUESTS)
+
+    def _compute_max_delay_s(self, now: float) -> float:
+        """Return how long an attempt may wait and still be answered by the goal."""
+        expected_latency_s = self._latency_estimator.expected_latency_s
+        return max(self.goal_at - expected_latency_s - now, 0.0)
+
+    def _assess_limits(
+        self, sub_request: attempts.SubRequest, now: float
+    ) -> limit_plan.Need:
+        """Return what limits do to the first attempt of a sub-request."""
+        service = sub_request.service
+        view = self.tools.view
+        candidates = view.list_ready(service) or view.list_fallback(service, now)
+        if not candidates:
+            return limit_plan.Need(math.inf, 0.0)
+        available = [r for r in candidates if r.is_available(now)] or candidates
+        limits = self.tools.rate_limits
+        if any(replica.rate_limit_per_s is None for replica in available):
+            return limit_plan.Need(0.0, 0.0)
+        return limit_plan.Need(
+            min(limits.compute_delay_s(replica, now) for replica in available),
+            limits.compute_shortage(
+                available, self.tools.request_rates.estimate_per_s(service, now), now
+            ),
+        )
+
+    def _resume_postponed(self, now: float) -> None:
+        """Send the sub-requests that were postponed, now that other ones failed."""
+        postponed, self._postponed = self._postponed, []
+        for sub_request in postponed:
+            sub_request.is_limited = sub_request.is_done = False
+            self._done_count -= 1
+            self._start_attempt(sub_request, "postponed", now)
+
     # Delegation to aggregators.
 
-    def _start_delegations(self, now: float) -> None:
+    def _plan_delegations(self, now: float) -> list[delegation.Group]:
+        """Return the groups of sub-requests that aggregators are to send."""
         match self._mode:
+            case delegation.Mode.NOTHING:
+                return []
             case delegation.Mode.WHOLE_QUERY:
                 groups = delegation.plan_whole_query(self.tools, self.sub_requests, now)
-            case delegation.Mode.OTHER_ZONES:
-                groups = []
-            case delegation.Mode.NOTHING:
-                return
-        may_delegate = bool(groups)
-        if not groups:
-            groups = delegation.plan_other_zones(
-                self.tools, self._list_in_other_zones(now), now
-            )
-        optional = len(self.sub_requests) - self._required_count
-        for group in groups:
-            min_parts = len(group.sub_requests) - optional
-            self._start_delegation(group, max(min_parts, 1), may_delegate)
+                if groups:
+                    return groups
+        return delegation.plan_other_zones(
+            self.tools, self._list_in_other_zones(now), now
+        )
 
-    def _start_delegation(
-        self, group: delegation.Group, min_parts: int, may_delegate: bool
-    ) -> None:
+    def _start_delegation(self, group: delegation.Group) -> None:
+        max_left_out = self._count_possible() - self._required_count
         for sub_request in group.sub_requests:
             sub_request.is_delegated = True
-        started = delegation.Delegation(
-            self, self.tools, group, min_parts, may_delegate
-        )
+        min_parts = max(len(group.sub_requests) - max_left_out, 1)
+        started = delegation.Delegation(self, self.tools, group, min_parts)
         self._delegations.append(started)
         started.start()
 
@@ -219,7 +287,9 @@
         """
         listed = []
         for sub_request in self.sub_requests:
-            best = self._select_replica(sub_request, now)
+            best = self._select_replica(
+                sub_request, now, self._compute_max_delay_s(now)
+            )
             if best is None or best.registration.zone == self.tools.zone:
                 continue
             zones = {
@@ -241,9 +311,12 @@
             case delegation.Outcome.ANSWERED:
                 self._take_answer(ended)
             case delegation.Outcome.REFUSED | delegation.Outcome.UNSENT:
-                self._start_first_attempts(ended.sub_requests, now)
+                self._send_directly(ended.sub_requests, now)
+            case delegation.Outcome.LIMITED:
+                self._mark_limited(ended.sub_requests)
+                self.retry_after_s = ended.retry_after_s
             case delegation.Outcome.UNCONFIRMED if not ended.may_have_executed():
-                self._start_first_attempts(ended.sub_requests, now)
+                self._send_directly(ended.sub_requests, now)
             case delegation.Outcome.UNCONFIRMED:
                 self._replace_unconfirmed(ended, now)
             case _:
@@ -254,6 +327,12 @@
             self._timer.cancel()
             self._set_timer(self.loop.now())
 
+    def _send_directly(
+        self, sub_requests: Sequence[attempts.SubRequest], now: float
+    ) -> None:
+        """Send what an aggregator did not take."""
+        self._start_first_attempts(self._hold_back_limited(sub_requests, now), now)
+
     def _take_answer(self, ended: delegation.Delegation) -> None:
         self._answers.append(ended.answer)
         for sub_request in ended.sub_requests:
@@ -296,13 +375,18 @@
         """Return how many parts were received."""
         return sum(sub_request.has_part for sub_request in self.sub_requests)
 
+    def count_limited(self) -> int:
+        """Return how many sub-requests were left out because of rate limits."""
+        return sum(sub_request.is_limited for sub_request in self.sub_requests)
+
     # Sending attempts.
 
     def _start_attempt(
         self, sub_request: attempts.SubRequest, reason: str, now: float
     ) -> bool:
         """Send an attempt to the best untried replica; return False without one."""
-        replica = self._select_replica(sub_request, now)
+        max_delay_s = self._compute_max_delay_s(now)
+        replica = self._select_replica(sub_request, now, max_delay_s)
         if replica is None:
             if not sub_request.has_pending_attempt():
                 self._mark_done(sub_request)
@@ -317,10 +401,21 @@
         reason: str,
         now: float,
     ) -> None:
-        attempt = attempts.Attempt(self, sub_request, replica, reason, now)
+        delay_s = self.tools.rate_limits.reserve(replica, now)
+        attempt = attempts.Attempt(self, sub_request, replica, reason, now + delay_s)
+        attempt.has_reservation = replica.rate_limit_per_s is not None
         sub_request.attempts.append(attempt)
-        replica.record_start(attempt, now)
-        service = self._service_configs.get(sub_request.service)
+        if delay_s > 0.0:
+            attempt.send_timer = self.loop.call_later(
+                delay_s, self._pass_to_pool, attempt
+            )
+        else:
+            self._pass_to_pool(attempt)
+
+    def _pass_to_pool(self, attempt: attempts.Attempt) -> None:
+        replica = attempt.replica
+        replica.record_start(attempt, attempt.started_at)
+        service = self._service_configs.get(attempt.sub_request.service)
         max_connections = (
             DEFAULT_MAX_CONNECTIONS if service is None else service.max_connections
         )
@@ -333,32 +428,42 @@
             attempt.connection = connection
 
     def _select_replica(
-        self, sub_request: attempts.SubRequest, now: float
+        self, sub_request: attempts.SubRequest, now: float, max_delay_s: float = 0.0
     ) -> replicas.Replica | None:
         """Return the best replica for one more attempt, if the route allows one.
 
-        If no further replica is allowed or left, one that refused once may be retried.
+        Its rate limit delays the attempt by at most `max_delay_s`. If no further
+        replica is allowed or left, one that refused once may be retried.
         """
         view = self.tools.view
+        refused = sub_request.list_replicas_to_retry()
         if sub_request.count_attempted_replicas() >= self.route.max_attempts:
-            return self._select_among(sub_request.list_replicas_to_retry(), now)
+            return self._select_among(refused, now, max_delay_s)
         tried = [attempt.replica for attempt in sub_request.attempts]
         ready = view.list_ready(sub_request.service)
         return (
-            self._select_among(ready, now, tried)
+            self._select_among(ready, now, max_delay_s, tried)
             or self._select_among(
-                view.list_fallback(sub_request.service, now), now, tried
+                view.list_fallback(sub_request.service, now), now, max_delay_s, tried
             )
-            or self._select_among(sub_request.list_replicas_to_retry(), now)
+            or self._select_among(refused, now, max_delay_s)
         )
 
     def _select_among(
         self,
         candidates: list[replicas.Replica],
         now: float,
+        max_delay_s: float,
         tried: Collection[replicas.Replica] = (),
     ) -> replicas.Replica | None:
         shared = self.tools
+        delays_s = {}
+        if shared.rate_limits.has_any():
+            delays_s = {
+                replica: shared.rate_limits.compute_delay_s(replica, now)
+                for replica in candidates
+            }
+            candidates = [r for r in candidates if delays_s[r] <= max_delay_s]
         return replica_selection.select_replica(
             candidates,
             shared.zone,
@@ -367,6 +472,7 @@
             now,
             shared.rng,
             tried,
+            delays_s,
         )
 
     def _send_extra_attempt(
@@ -379,7 +485,8 @@
         if replica is None:
             return False
         if reason == HEDGE_REASON and not replica.is_fit_for_hedge(now):
-            # The pending attempt is more likely to succeed.
+            # The pending attempt is more likely to succeed, or the share of a limit is
+            # better kept for another request.
             return False
         if not self.tools.retry_budget.try_spend(sub_request.service, now):
             self.denied_extra_attempts += 1
@@ -425,7 +532,7 @@
                 reply = requests.decode_reply(result)
                 outcome = replies.classify_reply(reply, self.request.id)
                 if outcome not in _OUTCOMES_OF_OTHER_SENDERS:
-                    self.tools.rate_limits.record_reply(attempt.replica, reply)
+                    self.tools.rate_limits.record_reply(attempt.replica, reply, now)
             case connections.FailedExchange(sent=sent):
                 reply = None
                 outcome = (
@@ -465,6 +572,7 @@
                 replica.record_replaced(attempt)
             case replies.AttemptOutcome.UNSENT:
                 replica.record_connect_failure(attempt, now)
+                self._release_reservation(attempt, now)
 
     def _update_sub_request(
         self,
@@ -584,9 +692,11 @@
         if self.outcome is not None:
             return
         total = len(self.sub_requests)
+        if self._postponed and self._count_possible() < self._required_count:
+            self._resume_postponed(now)
         succeeded = self._succeeded_count
         done = self._done_count
-        max_successes = total - done + succeeded
+        max_successes = self._count_possible()
         if succeeded == total:
             self._finish(RequestOutcome.COMPLETE)
         elif max_successes < self._required_count:
@@ -601,6 +711,10 @@
         elif succeeded >= self._required_count and self._should_answer_partially(now):
             self._finish(RequestOutcome.PARTIAL)
 
+    def _count_possible(self) -> int:
+        """Return how many parts the answer can still have."""
+        return len(self.sub_requests) - self._done_count + self._succeeded_count
+
     def _should_answer_partially(self, now: float) -> bool:
         """Return whether to answer now, without the parts that are missing.
 
@@ -681,8 +795,14 @@
         for attempt in candidates:
             if attempt.ended_at is None and attempt.sent_at is None:
                 attempt.replica.forget_attempt(attempt)
+                self._release_reservation(attempt, self.loop.now())
                 self._cancel(attempt, "withdrawn")
 
+    def _release_reservation(self, attempt: attempts.Attempt, now: float) -> None:
+        if attempt.has_reservation:
+            attempt.has_reservation = False
+            self.tools.rate_limits.release(attempt.replica, now)
+
     def _record_overdue_attempts(self, pending: list[attempts.Attempt]) -> None:
         """Report overdue attempts, connected or not, to the zone failure detector."""
         now = self.loop.now()
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -55,6 +55,7 @@
 
     ANSWERED = "answered"
     REFUSED = "refused"
+    LIMITED = "limited"
     UNSENT = "unsent"
     UNCONFIRMED = "unconfirmed"
     FAILED = "failed"
@@ -62,12 +63,16 @@
     CANCELED = "canceled"
 
 
+_NOT_EXECUTED_OUTCOMES = (Outcome.REFUSED, Outcome.LIMITED)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Group:
-    """Sub-requests that go to one aggregator."""
+    """Sub-requests that go to one aggregator, which `may_delegate` them in turn."""
 
     aggregator: aggregators.Aggregator
     sub_requests: tuple[attempts.SubRequest, ...]
+    may_delegate: bool = False
 
 
 class Owner(Protocol):
@@ -94,14 +99,13 @@
         shared: shared_state.SharedState,
         group: Group,
         min_parts: int,
-        may_delegate: bool,
     ) -> None:
         self._owner = owner
         self._shared = shared
         self.aggregator = group.aggregator
         self.sub_requests = group.sub_requests
         self._min_parts = min_parts
-        self._may_delegate = may_delegate
+        self._may_delegate = group.may_delegate
         self._connection: connections.Connection | None = None
         self._pool: pools.ConnectionPool | None = None
         self._timer = None
@@ -111,6 +115,8 @@
         self.started_at = shared.loop.now()
         self.outcome: Outcome | None = None
         self.answer: delegation_messages.Answer | None = None
+        # Set if the aggregator refused the query because of rate limits.
+        self.retry_after_s: float | None = None
 
     def start(self) -> None:
         """Send the query; the outcome may be decided before this returns."""
@@ -124,7 +130,7 @@
 
     def may_have_executed(self) -> bool:
         """Return whether a replica may have got a sub-request from the aggregator."""
-        return self._was_sent and self.outcome is not Outcome.REFUSED
+        return self._was_sent and self.outcome not in _NOT_EXECUTED_OUTCOMES
 
     # Callbacks of the connection.
 
@@ -184,7 +190,8 @@
             case connections.FailedExchange():
                 return Outcome.FAILED
         if delegation_messages.is_refusal(result):
-            return Outcome.REFUSED
+            self.retry_after_s = delegation_messages.parse_retry_after(result)
+            return Outcome.REFUSED if self.retry_after_s is None else Outcome.LIMITED
         try:
             self.answer = delegation_messages.parse_answer(
                 result,
@@ -206,7 +213,7 @@
 
     def _conclude(self, outcome: Outcome) -> None:
         self._end(outcome)
-        if outcome is Outcome.ANSWERED:
+        if outcome in (Outcome.ANSWERED, Outcome.LIMITED):
             self._shared.aggregators.record_success(self.aggregator)
         else:
             now = self._shared.loop.now()
@@ -275,7 +282,9 @@
     ):
         return []
     aggregator = shared.aggregators.select(shared.zone, now, shared.rng)
-    return [] if aggregator is None else [Group(aggregator, tuple(sub_requests))]
+    if aggregator is None:
+        return []
+    return [Group(aggregator, tuple(sub_requests), may_delegate=True)]
 
 
 def plan_other_zones(
--- a/corianderrill/gateway/delegation_messages.py
+++ b/corianderrill/gateway/delegation_messages.py
@@ -170,6 +170,24 @@
     return reply.status == 503 and requests.says_not_executed(reply)
 
 
+def list_limited_headers(retry_after_s: float) -> list[tuple[str, str]]:
+    """Return the headers of a refusal because of rate limits of replicas."""
+    return [
+        requests.NOT_EXECUTED_HEADER,
+        (requests.RETRY_AFTER_HEADER, f"{retry_after_s:.3f}"),
+    ]
+
+
+def parse_retry_after(reply: connections.RawReply) -> float | None:
+    """Return the delay of a refusal because of rate limits; None for another one."""
+    text = dict(reply.headers).get(requests.RETRY_AFTER_HEADER.lower().encode())
+    try:
+        delay_s = float(text)
+    except (TypeError, ValueError):
+        return None
+    return delay_s if math.isfinite(delay_s) else None
+
+
 def _encode_shards(shards: Iterable[int]) -> str:
     return f"{sum(1 << shard for shard in shards):x}"
 
--- /dev/null
+++ b/corianderrill/gateway/demand.py
@@ -0,0 +1,120 @@
+"""How the hosts divide the rate limit of a replica among each other.
+
+No host sees what the others send. While replicas name limits, each host therefore
+publishes in the platform's store how many requests a second it has for their services,
+under a lease, and all hosts learn of it with the watch that they have open anyway. A
+host's share of a limit is its part of the published demand, so the shares add up to one
+for hosts that have read the same reports.
+"""
+
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from corianderrill import names
+from corianderrill.gateway import view
+
+# Hosts of other availability zones than the replica's use it when their own replicas
+# are short, so they need less of its limit.
+OTHER_ZONE_WEIGHT = 0.25
+# Time in which all hosts have read a report.
+SETTLING_TIME_S = 2.0
+# A host whose demand is not published takes this part of an even share, since the
+# hosts whose demand is divide the whole limit among themselves.
+UNPUBLISHED_FACTOR = 0.5
+# Keeps the shares of hosts without demand above zero.
+MIN_DEMAND_PER_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandReport:
+    """The requests a second that a host has for services whose replicas are limited."""
+
+    host: names.HostName
+    zone: names.ZoneName
+    requests_per_s: Mapping[names.ServiceName, float]
+
+    def weigh(self, service: names.ServiceName, zone: names.ZoneName) -> float:
+        """Return the weight of the host for a replica of a service in a zone."""
+        per_s = self.requests_per_s.get(service)
+        if per_s is None:
+            return 0.0
+        factor = 1.0 if zone == self.zone else OTHER_ZONE_WEIGHT
+        return factor * max(per_s, MIN_DEMAND_PER_S)
+
+
+@dataclasses.dataclass(slots=True)
+class DemandDirectory:
+    """The demand reports of all hosts, as one host knows them.
+
+    `host_count` is how many hosts there are about. `lease_until` is until when the own
+    report is certain to be in the store. Times are in seconds of the host's monotonic
+    clock.
+    """
+
+    own_host: names.HostName
+    host_count: float = 1.0
+    lease_until: float = -math.inf
+    _reports: dict[names.HostName, DemandReport] = dataclasses.field(
+        default_factory=dict
+    )
+    _revisions: dict[names.HostName, view.StoreRevision] = dataclasses.field(
+        default_factory=dict
+    )
+    _settled_at: dict[names.ServiceName, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def apply(
+        self,
+        host: names.HostName,
+        report: DemandReport | None,
+        revision: view.StoreRevision,
+        now: float,
+    ) -> bool:
+        """Set the report of a host; return False if a newer one was applied before."""
+        if revision <= self._revisions.get(host, 0):
+            return False
+        self._revisions[host] = revision
+        if report is None:
+            self._reports.pop(host, None)
+        else:
+            self._reports[host] = report
+        if host == self.own_host:
+            self._update_settling(now)
+        return True
+
+    def _update_settling(self, now: float) -> None:
+        own = self.get_own()
+        services = () if own is None else own.requests_per_s
+        self._settled_at = {
+            service: self._settled_at.get(service, now + SETTLING_TIME_S)
+            for service in services
+        }
+
+    def get_own(self) -> DemandReport | None:
+        """Return the report of this host that is in the store; None without one."""
+        return self._reports.get(self.own_host)
+
+    def list_hosts(self) -> set[names.HostName]:
+        """Return the hosts with a report."""
+        return set(self._reports)
+
+    def compute_share(
+        self, service: names.ServiceName, zone: names.ZoneName, now: float
+    ) -> float:
+        """Return this host's share of the limit of a replica in a zone, 0 to 1.
+
+        A host whose own report the others may not know, or not know any more, takes at
+        most an even share.
+        """
+        even = 1.0 / max(self.host_count, 1.0)
+        total = sum(report.weigh(service, zone) for report in self._reports.values())
+        own = self.get_own()
+        own_weight = 0.0 if own is None else own.weigh(service, zone)
+        if not own_weight:
+            return UNPUBLISHED_FACTOR * even if total else even
+        share = own_weight / total
+        if self._settled_at[service] <= now < self.lease_until:
+            return share
+        return min(share, even)
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -181,6 +181,17 @@
     detail: str = ""
 
 
+class DemandReported(msgspec.Struct, tag="demand", tag_field="event"):
+    """The demand report of this host was published, lost or withdrawn.
+
+    `per_s` is the sum over the services, in requests a second.
+    """
+
+    outcome: str
+    per_s: float
+    detail: str = ""
+
+
 class EntrySkipped(msgspec.Struct, tag="entry-skipped", tag_field="event"):
     """An entry of the store was ignored because it is invalid or was removed."""
 
@@ -228,6 +239,7 @@
     denied: int
     attempts: list[AttemptSummary]
     view_age_ms: float | None = None
+    limited: int = 0
 
 
 class RequestRefused(msgspec.Struct, tag="refused", tag_field="event"):
@@ -300,6 +312,7 @@
     | DelegatedQueryEnded
     | ZoneSuspected
     | RateLimitSeen
+    | DemandReported
     | EntrySkipped
     | RequestEnded
     | RequestRefused
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -17,11 +17,14 @@
     aggregators,
     caller_connections,
     change_history,
+    demand,
+    demand_reporter,
     event_log,
     loop,
     pools,
     query_rate,
     rate_limits,
+    request_rates,
     retry_budget,
     scrape,
     shared_state,
@@ -84,6 +87,7 @@
         rng = random.Random()
         self._pools = pools.PoolManager(retry_budget.MIN_HOSTS)
         meter = metrics.Recorder()
+        self._demand = demand.DemandDirectory(host_settings.host)
         self._shared = shared_state.SharedState(
             zone=host_settings.zone,
             view=self._view,
@@ -96,7 +100,8 @@
             zone_detector=zone_health.ZoneFailureDetector(),
             aggregators=aggregators.AggregatorDirectory(host_settings.host),
             query_rate=query_rate.QueryRate(),
-            rate_limits=rate_limits.RateLimits(self.log, meter),
+            rate_limits=rate_limits.RateLimits(self._demand, self.log, meter),
+            request_rates=request_rates.RequestRates(loop.read_clock()),
         )
         self._app = wsgi_app.GatewayApp(self._shared)
         history = change_history.ChangeHistory()
@@ -112,6 +117,7 @@
             self._view,
             self._pools,
             self._shared.aggregators,
+            self._demand,
             host_settings.zone,
             self.log,
             rng,
@@ -129,6 +135,15 @@
             rng,
             self._shared.retry_budget,
         )
+        self._demand_reporter = demand_reporter.DemandReporter(
+            self._store_client,
+            self._view,
+            self._shared.rate_limits,
+            self._shared.request_rates,
+            host_settings.zone,
+            self.log,
+            rng,
+        )
         self._apply_bounds(host_settings.bounds)
         self._stopped = event.Event()
         self._is_shutting_down = False
@@ -143,6 +158,7 @@
             slot_count=aggregators.SLOTS_PER_ZONE * zone_count,
         )
         self._pools.host_count = host_count
+        self._demand.host_count = host_count
         self._aggregator_role.host_count = host_count
         max_apply_delay_s = min(bounds.config_apply_s, bounds.drain_s)
         self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
@@ -178,6 +194,7 @@
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         eventlet.spawn(self._store_watcher.run)
         eventlet.spawn(self._store_probe.run)
+        self._demand_task = eventlet.spawn(self._demand_reporter.run)
         eventlet.spawn(self._drop_expired_replicas_and_connections)
         eventlet.spawn(self._flush_log)
         eventlet.spawn(self._check_settings)
@@ -260,6 +277,7 @@
         if host_settings.store_address != self._host_settings.store_address:
             self._store_client = store.StoreClient(host_settings.store_address)
             self._store_watcher.client = self._store_client
+            self._demand_reporter.client = self._store_client
             self._store_watcher.interrupt(
                 store.StoreError(store.FailureKind.UNREACHABLE, "the address changed")
             )
@@ -288,6 +306,8 @@
         self._store_relay.close()
         eventlet.spawn(self._aggregator_role.retire)
         eventlet.sleep(SHUTDOWN_ANNOUNCE_S)
+        self._demand_task.kill()
+        eventlet.spawn(self._demand_reporter.withdraw)
         # Stops the accept loop. The WSGI server then closes idle connections and waits
         # for those that still serve a request.
         self._server.kill()
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -1,16 +1,26 @@
-"""Rate limits that replicas name in their replies.
+"""Rate limits that replicas name in their replies, and when they let a host send.
 
 A replica in need names how many requests a second it accepts from all hosts together,
-for as long as its replies say so.
+for as long as its replies say so. A host spaces its requests to such a replica by its
+share of the limit (a generic cell rate algorithm): each request reserves the next
+interval, and a request that is not sent gives it back.
 """
 
 import dataclasses
 import enum
+from collections.abc import Iterable
 
-from corianderrill import metrics
-from corianderrill.gateway import event_log, replicas, replies
+from corianderrill import metrics, names
+from corianderrill.gateway import demand, event_log, replicas, replies, view
 
 MAX_LOGGED_TEXT = 100
+# Unused time of a host's share that may be used later, for a short burst.
+BURST_S = 1.0
+# Requests come irregularly, so a host cannot use all that its limits allow.
+USABLE_SHARE = 0.95
+# All hosts together send at least this rate, however low a limit is, since only a reply
+# shows that it has been lifted.
+MIN_TOTAL_PER_S = 0.5
 
 
 class NoticeOutcome(enum.Enum):
@@ -23,12 +33,19 @@
 
 @dataclasses.dataclass(slots=True)
 class RateLimits:
-    """The rate limits that this host knows, each stored with its replica."""
+    """The rate limits that this host knows, each stored with its replica.
 
+    Times are in seconds of the host's monotonic clock.
+    """
+
+    directory: demand.DemandDirectory
     log: event_log.EventLog
     meter: metrics.Recorder
+    _limited: set[replicas.Replica] = dataclasses.field(default_factory=set)
 
-    def record_reply(self, replica: replicas.Replica, reply: replies.Reply) -> None:
+    def record_reply(
+        self, replica: replicas.Replica, reply: replies.Reply, now: float
+    ) -> None:
         """Apply what a reply says about the limit of its replica.
 
         A reply without a limit lifts it only if it is a success: others may come from
@@ -37,26 +54,32 @@
         match reply.rate_limit:
             case replies.RateLimit(requests_per_s):
                 if requests_per_s != replica.rate_limit_per_s:
-                    self._set(replica, requests_per_s, NoticeOutcome.APPLIED)
+                    self._apply(replica, requests_per_s, now)
             case replies.InvalidRateLimit(text):
+                kept_per_s = replica.rate_limit_per_s
                 self._record(
-                    replica,
-                    replica.rate_limit_per_s,
-                    replica.rate_limit_per_s,
-                    NoticeOutcome.INVALID,
-                    text,
+                    replica, kept_per_s, kept_per_s, NoticeOutcome.INVALID, text
                 )
             case None if (
                 replica.rate_limit_per_s is not None and 200 <= reply.status < 300
             ):
-                self._set(replica, None, NoticeOutcome.LIFTED)
+                self._lift(replica)
 
-    def _set(
-        self, replica: replicas.Replica, per_s: float | None, outcome: NoticeOutcome
-    ) -> None:
+    def _apply(self, replica: replicas.Replica, per_s: float, now: float) -> None:
         before_per_s = replica.rate_limit_per_s
         replica.rate_limit_per_s = per_s
-        self._record(replica, per_s, before_per_s, outcome)
+        if before_per_s is None:
+            self._limited.add(replica)
+            # Requests that were sent just before count as well, so there is no burst.
+            interval_s = self._compute_interval_s(replica, now)
+            replica.next_slot_at = now + max(interval_s, BURST_S)
+        self._record(replica, per_s, before_per_s, NoticeOutcome.APPLIED)
+
+    def _lift(self, replica: replicas.Replica) -> None:
+        before_per_s = replica.rate_limit_per_s
+        replica.rate_limit_per_s = None
+        self._limited.discard(replica)
+        self._record(replica, None, before_per_s, NoticeOutcome.LIFTED)
 
     def _record(
         self,
@@ -77,3 +100,54 @@
                 detail=detail[:MAX_LOGGED_TEXT],
             )
         )
+
+    def has_any(self) -> bool:
+        """Return whether any replica names a limit."""
+        return bool(self._limited)
+
+    def list_services(self, current: view.View) -> set[names.ServiceName]:
+        """Return the services with a limited replica; forget those that are gone."""
+        if self._limited:
+            self._limited = set(current.list_rate_limited())
+        return {replica.registration.service for replica in self._limited}
+
+    def compute_delay_s(self, replica: replicas.Replica, now: float) -> float:
+        """Return how long the next request to a replica has to wait, in seconds."""
+        if replica.rate_limit_per_s is None:
+            return 0.0
+        interval_s = self._compute_interval_s(replica, now)
+        tolerance_s = max(BURST_S - interval_s, 0.0)
+        return max(replica.next_slot_at - tolerance_s - now, 0.0)
+
+    def compute_shortage(
+        self, limited: Iterable[replicas.Replica], demand_per_s: float, now: float
+    ) -> float:
+        """Return the share of this host's demand that limits do not allow, 0 to 1."""
+        allowed_per_s = sum(
+            1.0 / self._compute_interval_s(replica, now) for replica in limited
+        )
+        if demand_per_s <= 0.0:
+            return 0.0
+        return max(1.0 - USABLE_SHARE * allowed_per_s / demand_per_s, 0.0)
+
+    def reserve(self, replica: replicas.Replica, now: float) -> float:
+        """Reserve the next request to a replica; return how long it has to wait."""
+        if replica.rate_limit_per_s is None:
+            return 0.0
+        delay_s = self.compute_delay_s(replica, now)
+        interval_s = self._compute_interval_s(replica, now)
+        replica.next_slot_at = max(replica.next_slot_at, now) + interval_s
+        return delay_s
+
+    def release(self, replica: replicas.Replica, now: float) -> None:
+        """Give back a reservation whose request was not sent."""
+        if replica.rate_limit_per_s is not None:
+            replica.next_slot_at -= self._compute_interval_s(replica, now)
+
+    def _compute_interval_s(self, replica: replicas.Replica, now: float) -> float:
+        registration = replica.registration
+        share = self.directory.compute_share(
+            registration.service, registration.zone, now
+        )
+        min_per_s = MIN_TOTAL_PER_S / max(self.directory.host_count, 1.0)
+        return 1.0 / max(share * replica.rate_limit_per_s, min_per_s)
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -84,7 +84,8 @@
     Times are in seconds of this host's monotonic clock. `pending_attempts` maps each
     attempt without an outcome to its start. The weights are counts of outcomes that
     decay with time. `rate_limit_per_s` is how many requests a second the replica takes
-    from all hosts together, None without a limit.
+    from all hosts together, None without a limit; this host's share of it is
+    reserved until `next_slot_at`.
     """
 
     registration: Registration
@@ -105,6 +106,7 @@
     connect_backoff_until: float = 0.0
     is_replaced: bool = False
     rate_limit_per_s: float | None = None
+    next_slot_at: float = 0.0
 
     @property
     def id(self) -> InstanceId:
@@ -226,11 +228,16 @@
         return now - next(iter(self.pending_attempts.values()))
 
     def is_fit_for_hedge(self, now: float) -> bool:
-        """Return whether the replica is available and its last connection was opened.
+        """Return whether the replica has room and its last connection was opened.
 
-        First attempts, not hedges, find out whether it can be reached again.
+        First attempts, not hedges, find out whether it can be reached again, and they
+        get what a rate limit allows.
         """
-        return self.is_available(now) and self.consecutive_connect_failures == 0
+        return (
+            self.is_available(now)
+            and self.consecutive_connect_failures == 0
+            and self.rate_limit_per_s is None
+        )
 
     def is_available(self, now: float) -> bool:
         """Return whether the replica is not replaced and in no backoff."""
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -8,10 +8,12 @@
     aggregators,
     event_log,
     latency,
+    limit_plan,
     loop,
     pools,
     query_rate,
     rate_limits,
+    request_rates,
     retry_budget,
     routes,
     view,
@@ -37,6 +39,10 @@
     aggregators: aggregators.AggregatorDirectory
     query_rate: query_rate.QueryRate
     rate_limits: rate_limits.RateLimits
+    request_rates: request_rates.RequestRates
+    limit_planner: limit_plan.LimitPlanner = dataclasses.field(
+        default_factory=limit_plan.LimitPlanner
+    )
     aggregator_pools: dict[names.Address, pools.ConnectionPool] = dataclasses.field(
         default_factory=dict
     )
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -19,6 +19,7 @@
 from corianderrill.gateway import (
     aggregators,
     change_history,
+    demand,
     event_log,
     loop,
     pools,
@@ -60,6 +61,7 @@
     view: view.View
     pools: pools.PoolManager
     aggregators: aggregators.AggregatorDirectory
+    demand: demand.DemandDirectory
     zone: names.ZoneName
     log: event_log.EventLog
     rng: random.Random
@@ -138,6 +140,9 @@
         for replica_id in self.view.list_replica_ids() - listed_ids:
             self._remove_replica(replica_id, oldest_revision, now)
         listed_keys = {item.key for item in items}
+        for host in self.demand.list_hosts():
+            if documents.format_demand_key(host) not in listed_keys:
+                self.demand.apply(host, None, oldest_revision, now)
         for key in self.aggregators.list_keys():
             if documents.format_aggregator_key(key) not in listed_keys:
                 self.aggregators.apply(key, None, oldest_revision)
@@ -265,6 +270,21 @@
                 self._apply_registration_item(item, now)
             elif item.key.startswith(documents.AGGREGATOR_KEY_PREFIX):
                 self._apply_aggregator_item(item)
+            elif item.key.startswith(documents.DEMAND_KEY_PREFIX):
+                self._apply_demand_item(item, now)
+
+    def _apply_demand_item(self, item: store.Item, now: float) -> None:
+        host = documents.parse_demand_key(item.key)
+        try:
+            report = (
+                None
+                if item.value is None
+                else documents.decode_demand(item.key, item.value)
+            )
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        self.demand.apply(host, report, item.revision, now)
 
     def _apply_aggregator_item(self, item: store.Item) -> None:
         try:
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -284,7 +284,9 @@
             case coordinator.RequestOutcome.ERROR_REPLY:
                 return _convert_reply(request_coordinator.sub_requests[0].error_reply)
             case coordinator.RequestOutcome.NOT_EXECUTED:
-                retry_after = self._build_retry_after(MIN_RETRY_AFTER_S)
+                retry_after = self._build_retry_after(
+                    max(request_coordinator.retry_after_s or 0.0, MIN_RETRY_AFTER_S)
+                )
                 return Response(
                     503,
                     [
@@ -352,7 +354,7 @@
 
     def _build_retry_after(self, min_delay_s: float) -> tuple[str, str]:
         delay_s = min_delay_s + RETRY_AFTER_JITTER_S * self._shared.rng.random()
-        return ("Retry-After", f"{delay_s:.3f}")
+        return (requests.RETRY_AFTER_HEADER, f"{delay_s:.3f}")
 
     # Log records and metrics.
 
@@ -388,6 +390,7 @@
                 repeats=request_coordinator.extra_attempts,
                 denied=request_coordinator.denied_extra_attempts,
                 view_age_ms=self._get_view_age_ms(),
+                limited=request_coordinator.count_limited(),
                 attempts=[]
                 if is_complete_in_time
                 else _summarize_attempts(request_coordinator),
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -212,6 +212,9 @@
 GATEWAY_RATE_LIMITED_REPLICAS = _gauge(
     "gateway_rate_limited_replicas", "Replicas that name a rate limit."
 )
+GATEWAY_LIMITED_SUB_REQUESTS = _count(
+    "gateway_limited_sub_requests", "Sub-requests left out because of rate limits."
+)
 GATEWAY_IN_FLIGHT = _gauge("gateway_in_flight", "Requests without an answer.")
 GATEWAY_CONNECTIONS = _gauge(
     "gateway_connections_opened", "Connections opened to addresses in use."
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -8,12 +8,13 @@
 import msgspec
 
 from corianderrill import names
-from corianderrill.gateway import aggregators, replicas, routes
+from corianderrill.gateway import aggregators, demand, replicas, routes
 from corianderrill.platform import settings
 
 CONFIGURATION_KEY = "op/config"
 SERVER_KEY_PREFIX = "servers/"
 AGGREGATOR_KEY_PREFIX = "aggregators/"
+DEMAND_KEY_PREFIX = "demand/"
 # HTTP/1.1; services with another protocol are ignored.
 _SUPPORTED_PROTOCOL = "h1"
 
@@ -89,8 +90,15 @@
     capacity_cores: float = 0.0
 
 
+class _WireDemand(msgspec.Struct):
+    zone: str
+    # By service.
+    requests_per_s: dict[str, float]
+
+
 _AGGREGATOR_DECODER = msgspec.json.Decoder(_WireAggregator)
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_WireConfiguration)
+_DEMAND_DECODER = msgspec.json.Decoder(_WireDemand)
 _SERVER_DECODER = msgspec.json.Decoder(_WireServer)
 
 
@@ -200,6 +208,39 @@
     )
 
 
+def format_demand_key(host: names.HostName) -> str:
+    """Return the store's key of the demand report of a host."""
+    return f"{DEMAND_KEY_PREFIX}{host}"
+
+
+def parse_demand_key(key: str) -> names.HostName:
+    """Return the host whose demand report has a key."""
+    return names.HostName(key.removeprefix(DEMAND_KEY_PREFIX))
+
+
+def encode_demand(report: demand.DemandReport) -> bytes:
+    """Return the value of the key of a demand report."""
+    return msgspec.json.encode(_WireDemand(report.zone, dict(report.requests_per_s)))
+
+
+def decode_demand(key: str, value: bytes) -> demand.DemandReport:
+    """Decode a demand report. Raise DocumentError if it is invalid."""
+    try:
+        document = _DEMAND_DECODER.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise DocumentError(str(error)) from error
+    if any(per_s < 0 for per_s in document.requests_per_s.values()):
+        raise DocumentError("requests_per_s: a rate is negative")
+    return demand.DemandReport(
+        parse_demand_key(key),
+        names.ZoneName(document.zone),
+        {
+            names.ServiceName(service): per_s
+            for service, per_s in document.requests_per_s.items()
+        },
+    )
+
+
 def parse_replica_id(key: str) -> replicas.InstanceId:
     """Return the replica ID in the key of an entry."""
     return replicas.InstanceId(key.removeprefix(SERVER_KEY_PREFIX))
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -13,6 +13,7 @@
 EXPECT_INSTANCE_HEADER = "X-Expect-Instance"
 PART_STAMPS_HEADER = "X-Part-Stamps"
 MISSING_PARTS_HEADER = "X-Missing-Parts"
+RETRY_AFTER_HEADER = "Retry-After"
 READY_PATH = "/api/ready"
 # Sent by a server other than the expected replica; it has not executed the request.
 STATUS_MISDIRECTED = 421
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -117,6 +117,10 @@
     lease: int
 
 
+class _WireTransaction(msgspec.Struct):
+    revision: int
+
+
 class _WireRange(msgspec.Struct):
     items: list[_WireItem]
     # The store revision of the reply.
@@ -132,6 +136,7 @@
     removals_untrusted_ms: float = 0.0
 
 
+_TRANSACTION_DECODER = msgspec.json.Decoder(_WireTransaction)
 _LEASE_DECODER = msgspec.json.Decoder(_WireLease)
 _RANGE_DECODER = msgspec.json.Decoder(_WireRange)
 _WATCH_DECODER = msgspec.json.Decoder(_WireWatch)
@@ -209,6 +214,25 @@
         }
         return self._call("POST", "/api/kv-txn", document, (404, 412)) is not None
 
+    def write_key(
+        self, key: Key, value: bytes, lease: LeaseId
+    ) -> view.StoreRevision | None:
+        """Write a key under a lease; return its revision, None if the lease has ended.
+
+        After a StoreError it may have been written.
+        """
+        document = {
+            "expected_rev": [],
+            "writes": [
+                {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+            ],
+            "deletes": [],
+        }
+        body = self._call("POST", "/api/kv-txn", document, (404,))
+        if body is None:
+            return None
+        return view.StoreRevision(self._decode(_TRANSACTION_DECODER, body).revision)
+
     def watch(self, prefix: str, after: view.StoreRevision, wait_s: float) -> Batch:
         """Wait up to `wait_s` for changes of keys with a prefix after a revision."""
         query = {
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -317,6 +317,7 @@
     """A backend server that replies with its records, or else echoes the body.
 
     `delay_s` is the processing time of each request, `status` the status of replies.
+    `rate_limit` is the limit that replies name, in requests a second over all hosts.
     """
 
     _numbers = itertools.count(1)
@@ -328,6 +329,7 @@
         self.records = records
         self.delay_s = 0.0
         self.status = "200 OK"
+        self.rate_limit: float | None = None
         self.requests: list[str] = []
         super().__init__()
 
@@ -358,4 +360,6 @@
             "X-Request-Id": request_id,
             "X-Server-Stamp": f"{self.id}.{request_id}",
         }
+        if self.rate_limit is not None:
+            headers["Server-Limit"] = str(self.rate_limit)
         return self.status, headers, b"".join(self.records) or body or b"done"
--- a/tests/test_gateway_delegation.py
+++ b/tests/test_gateway_delegation.py
@@ -195,3 +195,13 @@
     site.loop.run_until(60.0)
     mode = delegation.select_mode(site.tools, site.route, site.loop.now())
     assert mode is delegation.Mode.WHOLE_QUERY
+
+
+def test_query_that_an_aggregator_refuses_for_limits_is_refused_and_not_sent_directly():
+    """The replicas are short; hosts that ask them directly would add to their load."""
+    site, _ = build_site(behavior=Behavior.REFUSE_FOR_LIMITS)
+    query, ended = ask_once(site)
+    assert ended.outcome is Outcome.NOT_EXECUTED
+    assert ended.took_s < 0.02
+    assert query.retry_after_s == virtual_aggregators.RETRY_AFTER_S
+    assert count_arrivals(site) == 0
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -7,8 +7,7 @@
 import pytest
 
 from corianderrill import metrics
-from corianderrill.gateway import connections, event_log, rate_limits, replies
-from corianderrill.platform import requests
+from corianderrill.gateway import event_log, rate_limits, replies
 from tests.utils import gateway_builders as builders
 
 
@@ -21,12 +20,11 @@
 
 
 def build_limits():
-    return rate_limits.RateLimits(RecordingLog(), metrics.Recorder())
-
-
-def build_reply(limit=None, status=200):
-    headers = [] if limit is None else [(b"server-limit", limit)]
-    return requests.decode_reply(connections.RawReply(status, headers, b""))
+    return rate_limits.RateLimits(
+        builders.build_demand_directory(),
+        RecordingLog(),
+        metrics.Recorder(),
+    )
 
 
 @pytest.mark.parametrize(
@@ -43,13 +41,13 @@
     ],
 )
 def test_limit_is_a_decimal_number(text, limit):
-    assert build_reply(text).rate_limit == limit
+    assert builders.build_limited_reply(text).rate_limit == limit
 
 
 def test_limit_is_stored_and_logged_once_until_it_changes():
     limits, replica = build_limits(), builders.build_replica()
     for text in (b"17.1", b"17.1", b"12"):
-        limits.record_reply(replica, build_reply(text))
+        limits.record_reply(replica, builders.build_limited_reply(text), 1.0)
     assert replica.rate_limit_per_s == 12.0
     assert [(r.before_per_s, r.per_s) for r in limits.log.records] == [
         (None, 17.1),
@@ -59,18 +57,18 @@
 
 def test_only_a_success_without_a_limit_lifts_it():
     limits, replica = build_limits(), builders.build_replica()
-    limits.record_reply(replica, build_reply(b"17.1"))
-    limits.record_reply(replica, build_reply(status=503))
+    limits.record_reply(replica, builders.build_limited_reply(b"17.1"), 1.0)
+    limits.record_reply(replica, builders.build_limited_reply(None, status=503), 1.0)
     assert replica.rate_limit_per_s == 17.1
-    limits.record_reply(replica, build_reply())
+    limits.record_reply(replica, builders.build_limited_reply(None), 1.0)
     assert replica.rate_limit_per_s is None
     assert limits.log.records[-1].outcome == "lifted"
 
 
 def test_invalid_limit_is_logged_and_the_one_before_kept():
     limits, replica = build_limits(), builders.build_replica()
-    limits.record_reply(replica, build_reply(b"17.1"))
-    limits.record_reply(replica, build_reply(b"many"))
+    limits.record_reply(replica, builders.build_limited_reply(b"17.1"), 1.0)
+    limits.record_reply(replica, builders.build_limited_reply(b"many"), 1.0)
     assert replica.rate_limit_per_s == 17.1
     record = limits.log.records[-1]
     assert isinstance(record, event_log.RateLimitSeen)
@@ -84,3 +82,58 @@
     replica.rate_limit_per_s = 17.1
     view.apply_registration(builders.build_registration(started_at_ms=2), 3, 1.0)
     assert not view.list_rate_limited()
+
+
+def build_limited_replica(per_s=10.0, host_count=1.0):
+    limits, replica = build_limits(), builders.build_replica()
+    limits.directory.host_count = host_count
+    limits.record_reply(replica, builders.build_limited_reply(per_s), 1.0)
+    return limits, replica
+
+
+def test_replica_without_a_limit_causes_no_delay():
+    limits, replica = build_limits(), builders.build_replica()
+    assert [limits.reserve(replica, 1.0) for _ in range(100)] == [0.0] * 100
+
+
+def test_no_burst_follows_the_first_naming_of_a_limit():
+    limits, replica = build_limited_replica()
+    assert limits.compute_delay_s(replica, 1.0) > 0.0
+
+
+def test_requests_are_spaced_by_the_share_of_the_host():
+    limits, replica = build_limited_replica(10.0, host_count=2.0)
+    for _ in range(200):
+        limits.reserve(replica, 1.0)
+    # Two hosts share ten requests a second.
+    assert limits.compute_delay_s(replica, 1.0) == pytest.approx(200 / 5.0, abs=1.0)
+
+
+def test_unused_share_allows_a_short_burst():
+    limits, replica = build_limited_replica(10.0)
+    delays_s = [limits.reserve(replica, 60.0) for _ in range(30)]
+    immediate = [delay_s for delay_s in delays_s if delay_s == 0.0]
+    assert len(immediate) == pytest.approx(10.0 * rate_limits.BURST_S, abs=1)
+
+
+def test_request_that_was_not_sent_gives_its_reservation_back():
+    limits, replica = build_limited_replica(10.0)
+    before_s = limits.compute_delay_s(replica, 1.0)
+    limits.reserve(replica, 1.0)
+    limits.release(replica, 1.0)
+    assert limits.compute_delay_s(replica, 1.0) == pytest.approx(before_s)
+
+
+def test_limit_of_zero_still_lets_a_request_through_now_and_then():
+    limits, replica = build_limited_replica(0.0, host_count=2.0)
+    assert limits.compute_delay_s(replica, 60.0) == 0.0
+    limits.reserve(replica, 60.0)
+    wait_s = limits.compute_delay_s(replica, 60.0)
+    assert wait_s == pytest.approx(2.0 / rate_limits.MIN_TOTAL_PER_S)
+
+
+def test_shortage_is_the_share_of_the_demand_that_limits_do_not_allow():
+    limits, replica = build_limited_replica(10.0)
+    assert limits.compute_shortage([replica], 5.0, 60.0) == 0.0
+    assert limits.compute_shortage([replica], 20.0, 60.0) == pytest.approx(0.525)
+    assert limits.compute_shortage([replica], 0.0, 60.0) == 0.0
--- a/tests/test_gateway_shared_limits.py
+++ b/tests/test_gateway_shared_limits.py
@@ -6,12 +6,16 @@
 
 import pytest
 
+from corianderrill import names
+from corianderrill.gateway import coordinator, demand_reporter, routes
 from tests.utils import virtual_fleets
 
 SEEDS = (1, 2, 3)
 LIMITS_FROM_S = 3.0
 # Half of what a replica gets when each zone uses its own.
 LIMIT_PER_S = 13.0
+# The target for days with trouble on sites with few hosts.
+MIN_TROUBLE_ON_TIME_SHARE = 0.76
 
 
 def limit(servers, per_s=LIMIT_PER_S):
@@ -20,7 +24,7 @@
 
 
 def run_fleet(limited, seed=1, per_s=(26.0, 26.0, 26.0), until_s=20.0, **fields):
-    """Run a fleet of nine hosts whose replicas `limited` (a slice) name a limit."""
+    """Run a fleet of nine hosts, or more, whose replicas `limited` name a limit."""
     fleet = virtual_fleets.Fleet(seed=seed, shards=4, min_coverage=0.75, **fields)
     limit(fleet.servers[limited])
     fleet.run(per_s, until_s)
@@ -38,3 +42,81 @@
 def test_replicas_get_no_more_than_their_limit_allows_from_all_hosts(seed):
     fleet = run_fleet(slice(0, 2), seed, per_s=(26.0, 26.0, 40.0))
     assert max(compute_excesses(fleet)) <= 0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_answers_stay_whole_while_one_replica_of_a_shard_has_no_limit(seed):
+    fleet = run_fleet(slice(0, 2), seed)
+    outcomes = {ended.outcome for ended in fleet.list_ended()}
+    assert outcomes == {coordinator.RequestOutcome.COMPLETE}
+
+
+def test_limits_of_a_whole_shard_are_used_and_the_other_queries_leave_it_out():
+    fleet = run_fleet(slice(0, 3))
+    assert max(compute_excesses(fleet)) <= 0
+    ended = fleet.list_ended(since_s=8.0)
+    assert all(e.parts + e.missing == 4 and e.missing <= 1 for e in ended)
+    complete = [e for e in ended if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    # Half of the demand is allowed.
+    assert 0.35 < len(complete) / len(ended) <= 0.55
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_queries_leave_out_one_shard_each_when_several_are_short(seed):
+    """Three of ten shards get two thirds of what they need; one may be left out.
+
+    If each shard were left out by chance, a third of the queries would miss two.
+    """
+    fleet = virtual_fleets.Fleet(seed=seed, shards=10, min_coverage=0.89)
+    limit(fleet.servers[:9], 17.3)
+    fleet.run(until_s=16.0)
+    assert max(compute_excesses(fleet)) <= 0
+    ended = fleet.list_ended(since_s=8.0)
+    on_time = [e for e in ended if e.missing <= 1 and e.took_s <= 0.0925]
+    assert len(on_time) / len(ended) > MIN_TROUBLE_ON_TIME_SHARE
+
+
+def test_requests_over_the_limit_of_a_service_are_refused_at_once():
+    service = names.ServiceName("shard-0")
+    fleet = virtual_fleets.Fleet(
+        shards=1, target=routes.SingleService(service), goal_s=0.288, timeout_s=2.5
+    )
+    limit(fleet.servers)
+    fleet.run(until_s=16.0)
+    assert max(compute_excesses(fleet)) <= 0
+    ended = fleet.list_ended(since_s=8.0)
+    refused = [e for e in ended if e.outcome is coordinator.RequestOutcome.NOT_EXECUTED]
+    answered = [e for e in ended if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    assert len(refused) + len(answered) == len(ended)
+    assert max(e.took_s for e in refused) < 0.01
+    assert max(e.took_s for e in answered) < 0.5
+    # The limits allow half of the demand.
+    assert 0.4 < len(answered) / len(ended) < 0.6
+
+
+@pytest.mark.parametrize("outage", [(2.9, 9.0), (4.2, 14.0), (6.0, 16.0)])
+@pytest.mark.parametrize("count", [2, 3])
+def test_limits_hold_while_the_store_is_away(outage, count):
+    fleet = virtual_fleets.Fleet(shards=4, min_coverage=0.75)
+    fleet.store.outages = [outage]
+    limit(fleet.servers[:count])
+    fleet.run((26.0, 26.0, 40.0))
+    assert max(compute_excesses(fleet)) <= 0
+
+
+def test_limits_hold_for_forty_hosts_that_write_seldom():
+    fleet = run_fleet(slice(0, 3), hosts=(18, 9, 13))
+    assert max(compute_excesses(fleet)) <= 0
+    seconds = 20.0 - LIMITS_FROM_S
+    assert fleet.store.writes / seconds < demand_reporter.MAX_TOTAL_WRITES_PER_S / 4
+
+
+def test_limit_below_one_request_a_second_is_kept_and_its_end_noticed():
+    fleet = virtual_fleets.Fleet(shards=4, min_coverage=0.75)
+    for server in fleet.servers[:3]:
+        server.limits = [(LIMITS_FROM_S, 12.0, 0.5)]
+    fleet.run(until_s=60.0)
+    assert max(compute_excesses(fleet)) <= 0
+    late = fleet.list_ended(since_s=50.0)
+    complete = [e for e in late if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    assert len(complete) / len(late) > 0.9
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -81,6 +81,7 @@
             self.view,
             FakePools(),
             builders.build_aggregator_directory(),
+            builders.build_demand_directory(),
             builders.ZONE,
             self.log,
             rng,
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -1,7 +1,15 @@
 """Builders of registrations, replicas, routes, configurations and views."""
 
 from corianderrill import names
-from corianderrill.gateway import aggregators, replicas, routes, view
+from corianderrill.gateway import (
+    aggregators,
+    connections,
+    demand,
+    replicas,
+    routes,
+    view,
+)
+from corianderrill.platform import requests
 
 DRAIN_FALLBACK_S = 1.2
 LAPSED_FALLBACK_S = 2.0
@@ -46,6 +54,17 @@
     return aggregators.AggregatorDirectory(names.HostName(host))
 
 
+def build_demand_directory(host="front-1", host_count=1.0):
+    return demand.DemandDirectory(names.HostName(host), host_count)
+
+
+def build_limited_reply(limit, status=200):
+    """Return a reply that names a limit: text, a number, or None for no limit."""
+    text = limit if isinstance(limit, bytes) else str(limit).encode()
+    headers = [] if limit is None else [(b"server-limit", text)]
+    return requests.decode_reply(connections.RawReply(status, headers, b""))
+
+
 def build_route(
     target=None,
     prefix="/a/",
--- a/tests/utils/virtual_aggregators.py
+++ b/tests/utils/virtual_aggregators.py
@@ -10,6 +10,7 @@
 ADDRESS = names.Address("10.0.0.9", 7420)
 WAY_S = 0.0004
 RECORD = b"a" * 16
+RETRY_AFTER_S = 0.25
 
 
 class Behavior(enum.Enum):
@@ -23,6 +24,7 @@
     UNREACHABLE = 6
     ANSWER_FOR_ANOTHER = 7
     LEAVE_OUT_A_SHARD = 8
+    REFUSE_FOR_LIMITS = 9
 
 
 @dataclasses.dataclass
@@ -58,6 +60,10 @@
             case Behavior.REFUSE:
                 headers = [(b"x-not-executed", b"1")]
                 self._reply(0.0, query, connections.RawReply(503, headers, b""))
+            case Behavior.REFUSE_FOR_LIMITS:
+                headers = delegation_messages.list_limited_headers(RETRY_AFTER_S)
+                reply = connections.RawReply(503, encode_headers(headers), b"")
+                self._reply(0.0, query, reply)
             case Behavior.STAY_SILENT:
                 pass
             case _:
@@ -95,8 +101,11 @@
         [f"signed-{shard}" for shard in shards],
         shards,
     )
-    encoded = [(k.lower().encode(), v.encode()) for k, v in headers]
-    return connections.RawReply(200, encoded, RECORD * 2)
+    return connections.RawReply(200, encode_headers(headers), RECORD * 2)
+
+
+def encode_headers(headers):
+    return [(name.lower().encode(), value.encode()) for name, value in headers]
 
 
 def add_to(site, zone="zone-a", slot=0, address=ADDRESS):
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -19,6 +19,7 @@
     pools,
     query_rate,
     rate_limits,
+    request_rates,
     retry_budget,
     routes,
     send_queue,
@@ -339,6 +340,7 @@
             )
             belief.apply_registration(registration, index + 2, 0.0)
         log = Silence()
+        self.demand = builders.build_demand_directory(host)
         meter = metrics.Recorder()
         self.tools = shared_state.SharedState(
             zone=names.ZoneName(zone),
@@ -352,7 +354,8 @@
             zone_detector=zone_health.ZoneFailureDetector(),
             aggregators=builders.build_aggregator_directory(),
             query_rate=query_rate.QueryRate(),
-            rate_limits=rate_limits.RateLimits(log, meter),
+            rate_limits=rate_limits.RateLimits(self.demand, log, meter),
+            request_rates=request_rates.RequestRates(0.0),
         )
         self.ended = []
         self.coordinators = []
