--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -729,9 +729,7 @@
     def _classify_timeout(self) -> RequestOutcome:
         """Return `NOT_EXECUTED` if nothing was sent, since the rest is withdrawn."""
         outcome = self._classify_failure()
-        if outcome is RequestOutcome.NOT_EXECUTED and not any(
-            sub_request.is_delegated for sub_request in self.sub_requests
-        ):
+        if outcome is RequestOutcome.NOT_EXECUTED:
             return outcome
         return RequestOutcome.TIMED_OUT
 
@@ -742,7 +740,9 @@
             sub_request.attempts for sub_request in self.sub_requests
         )
         if any(attempt.may_have_executed() for attempt in tried) or any(
-            sub_request.lost_delegations or sub_request.is_in_answer
+            sub_request.is_delegated
+            or sub_request.lost_delegations
+            or sub_request.is_in_answer
             for sub_request in self.sub_requests
         ):
             return RequestOutcome.INDETERMINATE
--- a/tests/test_gateway_delegation.py
+++ b/tests/test_gateway_delegation.py
@@ -161,13 +161,23 @@
     assert aggregator.canceled
 
 
-def test_shards_without_a_replica_in_the_own_zone_go_to_an_aggregator_elsewhere():
+def build_site_with_shards_elsewhere(count=3, behavior=Behavior.ANSWER):
+    """Return a site, some of whose shards an aggregator of another zone is to ask.
+
+    It is followed by that aggregator and the one of the own zone.
+    """
     site, own = build_site(mode=delegation.Mode.OTHER_ZONES)
     address = names.Address("10.0.1.9", 7420)
     other = virtual_aggregators.add_to(site, "zone-b", 0, address)
-    for server in site.servers[:9]:
+    other.behavior = behavior
+    for server in site.servers[: 3 * count]:
         if server.zone == "zone-a":
             site.remove(server)
+    return site, other, own
+
+
+def test_shards_without_a_replica_in_the_own_zone_go_to_an_aggregator_elsewhere():
+    site, other, own = build_site_with_shards_elsewhere()
     _, ended = ask_once(site)
     assert ended.outcome is Outcome.COMPLETE
     assert [terms.shards for terms in other.queries] == [(0, 1, 2)]
@@ -205,3 +215,15 @@
     assert ended.took_s < 0.02
     assert query.retry_after_s == virtual_aggregators.RETRY_AFTER_S
     assert count_arrivals(site) == 0
+
+
+# Guards against a 503, which says that nothing was executed, while an aggregator still
+# sends sub-requests of the query.
+def test_query_that_an_aggregator_works_on_is_not_called_unexecuted():
+    site, _, _ = build_site_with_shards_elsewhere(
+        SHARDS - 2, Behavior.STAY_SILENT_ONCE_CONFIRMED
+    )
+    for server in site.servers:
+        server.shed_share = 1.0
+    _, ended = ask_once(site)
+    assert ended.outcome is Outcome.INDETERMINATE
