--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -275,9 +275,7 @@
             self.log.record(event_log.Reloaded(reason, "refused", str(error)))
             return
         if host_settings.store_address != self._host_settings.store_address:
-            self._store_client = store.StoreClient(host_settings.store_address)
-            self._store_watcher.client = self._store_client
-            self._demand_reporter.client = self._store_client
+            self._store_client.change_address(host_settings.store_address)
             self._store_watcher.interrupt(
                 store.StoreError(store.FailureKind.UNREACHABLE, "the address changed")
             )
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -143,18 +143,17 @@
 
 
 class StoreClient:
-    """A client of the store at one address."""
+    """A client of the store, shared by all tasks of a host."""
 
     def __init__(self, address: names.Address) -> None:
-        self._pool = urllib3.HTTPConnectionPool(
-            address.ip,
-            address.port,
-            maxsize=2,
-            retries=False,
-            socket_options=_SOCKET_OPTIONS,
-        )
+        self._pool = _build_pool(address)
         self.call_count = 0
 
+    def change_address(self, address: names.Address) -> None:
+        """Send later calls to another address; calls in flight end as they can."""
+        former, self._pool = self._pool, _build_pool(address)
+        former.close()
+
     def read_range(
         self, prefix: str, after: Key | None, allow_stale: bool = False
     ) -> Batch:
@@ -314,6 +313,16 @@
             raise StoreError(FailureKind.MALFORMED, str(error)) from error
 
 
+def _build_pool(address: names.Address) -> urllib3.HTTPConnectionPool:
+    return urllib3.HTTPConnectionPool(
+        address.ip,
+        address.port,
+        maxsize=2,
+        retries=False,
+        socket_options=_SOCKET_OPTIONS,
+    )
+
+
 def parse_call(path: str, query_text: str) -> ProbeCall | WatchCall | None:
     """Return the call that another host sent in place of the store; None if unknown."""
     query = dict(urllib.parse.parse_qsl(query_text))
--- a/tests/test_gateway_aggregation.py
+++ b/tests/test_gateway_aggregation.py
@@ -187,3 +187,16 @@
                 eventlet.sleep(gateway_rig.POLL_INTERVAL_S)
     finally:
         zone.aggregator.signal(signal.SIGCONT)
+
+
+# Guards against a task that goes on calling the store's former address, where its lease
+# is not renewed once nobody answers there.
+def test_all_calls_go_to_the_new_address_of_the_store_after_a_reload(zone):
+    alias = gateway_rig.Alias(zone.rig.store)
+    try:
+        zone.aggregator.change_store_address(alias.address)
+        zone.aggregator.signal(signal.SIGHUP)
+        zone.rig.wait_until(lambda: "/api/kv-watch" in alias.paths)
+        zone.rig.wait_until(lambda: any("kv-keep" in path for path in alias.paths))
+    finally:
+        alias.stop()
--- a/tests/utils/gateway_rig.py
+++ b/tests/utils/gateway_rig.py
@@ -52,6 +52,19 @@
     return {"version": version, "routes": route_documents, "services": services}
 
 
+class Alias(platform.LoopbackServer):
+    """Another address of a server; `paths` are those of its requests."""
+
+    def __init__(self, server):
+        self._server = server
+        self.paths = []
+        super().__init__()
+
+    def handle_request(self, environ):
+        self.paths.append(environ["PATH_INFO"])
+        return self._server.handle_request(environ)
+
+
 class GatewayHost:
     """One gateway process and its addresses."""
 
@@ -74,8 +87,16 @@
         }
         file = platform.HostSettingsFile(name=name, **{**defaults, **settings})
         self.settings_path.write_text(file.render())
+        self.store_address = str(store_address)
         self.process = None
 
+    def change_store_address(self, address):
+        """Write the settings again with another address of the store."""
+        text = self.settings_path.read_text()
+        changed = text.replace(self.store_address, str(address))
+        self.settings_path.write_text(changed)
+        self.store_address = str(address)
+
     def start(self):
         environment = {
             **os.environ,
