--- a/benchmarks/gateways/checks.py
+++ b/benchmarks/gateways/checks.py
@@ -24,6 +24,13 @@
 MAX_ATTEMPTS = 2
 # So many requests may run on more replicas than allowed.
 OVER_ATTEMPTS = 3
+# A replica may get so many times its limit in a window, and a few requests more.
+LIMIT_FACTOR = 1.5
+LIMIT_MORE = 5
+LIMIT_WINDOW_S = 4.0
+# The limit binds so long after it was named, for hosts that were told a moment before.
+LIMIT_CONTACT_S = 4.0
+TOLD_BEFORE_S = 0.5
 LATE_AFTER_S = 0.5
 GONE_AFTER_S = 0.5
 GONE_AT_MOST = 3
@@ -49,6 +56,7 @@
 
     shards: tuple[records.ServiceName, ...]
     repeat_fixed: float
+    has_aggregators: bool = False
 
 
 class Evidence:
@@ -276,6 +284,41 @@
             yield Broken("draining", arrival.at, detail)
 
 
+def check_limits(evidence: Evidence) -> Iterator[Broken]:
+    """A replica gets no more from the hosts that it told than its limit allows.
+
+    It is not known which host sent what an aggregator sent for another one.
+    """
+    if evidence.setting.has_aggregators:
+        return
+    for limited in evidence.history.limited:
+        allowed = LIMIT_FACTOR * limited.per_s * LIMIT_WINDOW_S + LIMIT_MORE
+        times = sorted(_list_limited(evidence, limited))
+        for first, at in enumerate(times):
+            count = bisect.bisect_left(times, at + LIMIT_WINDOW_S) - first
+            if count > allowed:
+                detail = f"{limited.replica}: {count} requests, {allowed:.0f} allowed"
+                yield Broken("limits", at, detail)
+                break
+
+
+def _list_limited(evidence: Evidence, limited: records.Limited) -> Iterator[float]:
+    """Yield when a limited replica got requests that its limit binds."""
+    told_at: dict[records.HostName, float] = {}
+    arrivals = [a for a in evidence.history.arrivals if a.replica == limited.replica]
+    for arrival in sorted(arrivals, key=lambda a: a.at):
+        host = evidence.by_id[arrival.id].host
+        told = told_at.get(host, arrival.at) + TOLD_BEFORE_S <= arrival.at
+        is_bound = limited.since + LIMIT_CONTACT_S <= arrival.at < limited.until
+        is_excused = evidence.was_held(arrival) or not evidence.is_in_touch(
+            host, arrival.at
+        )
+        if told and is_bound and not is_excused:
+            yield arrival.at
+        if arrival.limited_at is not None:
+            told_at.setdefault(host, arrival.limited_at)
+
+
 def check_losses(evidence: Evidence) -> Iterator[Broken]:
     """A host that ends on SIGTERM loses no request that it has read."""
     for told in evidence.history.told:
@@ -357,6 +400,7 @@
     check_attempts,
     check_routes,
     check_draining,
+    check_limits,
     check_losses,
     check_deadlines,
     check_leaving,
--- a/benchmarks/gateways/faults.py
+++ b/benchmarks/gateways/faults.py
@@ -44,6 +44,7 @@
     CALLERS_LEAVE = "callers-leave"
     STORE_MUTED = "store-muted"
     REPLICA_MUTED = "replica-muted"
+    REPLICA_LIMITED = "replica-limited"
 
 
 # Shares of the run.
@@ -52,6 +53,8 @@
 MEAN_GAP_S = 0.8
 SHORTEST_S = 0.2
 LONGEST_S = 4.0
+# A limit binds only some seconds after it was named.
+SPANS_S = {Kind.REPLICA_LIMITED: (6.0, 14.0)}
 SERIES_CHANCE = 0.25
 SERIES_LENGTHS = (2, 3, 4)
 SERIES_GAP_S = 0.6
@@ -90,11 +93,12 @@
     begins = itertools.accumulate(
         (rng.random() * SERIES_GAP_S for _ in range(count - 1)), initial=at_s
     )
+    span_s = SPANS_S.get(kind, (SHORTEST_S, LONGEST_S))
     return [
         Fault(
             kind,
             begin_s,
-            min(begin_s + rng.uniform(SHORTEST_S, LONGEST_S), end_s),
+            min(begin_s + rng.uniform(*span_s), end_s),
             rng.randrange(1_000_000),
         )
         for begin_s in begins
--- a/benchmarks/gateways/records.py
+++ b/benchmarks/gateways/records.py
@@ -68,7 +68,8 @@
     """A request that reached a backend server.
 
     `signature` marks its run and is empty where the server refused it; `body` is what
-    a good reply holds, `status` what was answered.
+    a good reply holds, `status` what was answered. `limited_at` is when a limit was
+    named in the reply, if there was one.
     """
 
     id: RequestId
@@ -79,6 +80,7 @@
     status: int = 0
     body: bytes = b""
     was_elsewhere: bool = False
+    limited_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +118,16 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """A span in which a replica named a limit of requests a second."""
+
+    replica: InstanceId
+    per_s: float
+    since: float
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Told:
     """SIGTERM was sent to a host, which ended at `ended_at` with `status`."""
@@ -154,6 +166,7 @@
     left: list[Left] = dataclasses.field(default_factory=list)
     disturbed: list[Disturbed] = dataclasses.field(default_factory=list)
     held: list[Held] = dataclasses.field(default_factory=list)
+    limited: list[Limited] = dataclasses.field(default_factory=list)
     told: list[Told] = dataclasses.field(default_factory=list)
     vanished: list[Vanished] = dataclasses.field(default_factory=list)
     started: list[Started] = dataclasses.field(default_factory=list)
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -38,6 +38,8 @@
 # One fault of a replica in so many hits one that takes bookings now.
 BOOKING_FAULTS = 3
 GOAL_MS = 300
+# A small part of what a replica gets.
+LIMIT_PER_S = 0.5
 FIXED_BASE = 40
 FIXED_A_HOST = 2
 # Sized for as many hosts as make gateways want aggregators.
@@ -100,6 +102,7 @@
             FIXED_WITH_AGGREGATORS
             if size.has_aggregators
             else FIXED_BASE + FIXED_A_HOST * size.hosts,
+            size.has_aggregators,
         )
         self.store = platform.FakeStore()
         self._version = 0
@@ -328,6 +331,8 @@
             case faults.Kind.REPLICA_REPLACED:
                 eventlet.spawn(self._replace, server)
                 return _do_nothing
+            case faults.Kind.REPLICA_LIMITED:
+                return self._limit(server)
         if kind in _MOODS:
             return _begin_mood((server,), _MOODS[kind])
         mode = _REPLICA_LINK_MODES[kind]
@@ -341,6 +346,21 @@
 
         return undo
 
+    def _limit(self, server: servers.Server) -> Undo:
+        if server.rate_limit is not None:
+            return _do_nothing
+        limited_id, since = server.id, time.monotonic()
+        server.rate_limit = LIMIT_PER_S
+
+        def undo() -> None:
+            if server.id == limited_id:
+                server.rate_limit = None
+            self.history.limited.append(
+                records.Limited(limited_id, LIMIT_PER_S, since, time.monotonic())
+            )
+
+        return undo
+
     def _crash(self, server: servers.Server) -> Undo:
         server.link.begin(links.Mode.RESET)
         crashed = server.id
--- a/benchmarks/gateways/servers.py
+++ b/benchmarks/gateways/servers.py
@@ -78,6 +78,9 @@
             "X-Request-Id": str(arrival.id),
             "X-Server-Stamp": arrival.signature,
         }
+        if self.rate_limit is not None:
+            arrival.limited_at = time.monotonic()
+            headers["Server-Limit"] = str(self.rate_limit)
         if Mood.FAILING in self.moods and self._rng.random() < FAILED_SHARE:
             arrival.status = 500
             return "500 Internal Server Error", headers, b"broken"
@@ -88,6 +91,7 @@
     def start_again(self) -> None:
         """Become another instance at the same address."""
         self.id = f"{self.id}-{next(_numbers)}"
+        self.rate_limit = None
 
     def stop(self) -> None:
         """Listen no more, as after the end of its process."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,8 @@
 SEEDS = (1, 4, 6, 18, 26)
 # Added later than the seeds above, which would draw other faults with them.
 MUTED_KINDS = (faults.Kind.STORE_MUTED, faults.Kind.REPLICA_MUTED)
-FIRST_KINDS = tuple(kind for kind in faults.Kind if kind not in MUTED_KINDS)
+LATER_KINDS = (*MUTED_KINDS, faults.Kind.REPLICA_LIMITED)
+FIRST_KINDS = tuple(kind for kind in faults.Kind if kind not in LATER_KINDS)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -38,13 +39,26 @@
 def test_gateways_with_aggregators_keep_their_promises_among_faults(tmp_path):
     # A host delegates only once its retry budget has a window behind it.
     size = dataclasses.replace(SIZE, hosts=4, has_aggregators=True)
-    report = soak.run(3, 2.2 * SECONDS, size, tmp_path)
+    report = soak.run(3, 2.2 * SECONDS, size, tmp_path, (*FIRST_KINDS, *MUTED_KINDS))
     broken = [b for b in report.broken if b.check in TIMELESS]
     assert broken == []
     logs = "".join(path.read_text() for path in tmp_path.glob("front-*.log"))
     assert '"event":"delegated"' in logs
 
 
+def test_gateways_keep_to_limits_while_the_store_is_away_and_hosts_restart(tmp_path):
+    kinds = (
+        *(faults.Kind.REPLICA_LIMITED, faults.Kind.STORE_BUSY),
+        *(faults.Kind.HOST_TERMINATED, faults.Kind.PUBLISHED),
+    )
+    report = soak.run(1, 3 * SECONDS, SIZE, tmp_path, kinds)
+    broken = [b for b in report.broken if b.check in (*TIMELESS, "limits")]
+    assert broken == []
+    assert report.faults["replica-limited"] > 3
+    logs = "".join(path.read_text() for path in tmp_path.glob("front-*.log"))
+    assert '"event":"demand"' in logs
+
+
 def test_report_counts_every_request_once(tmp_path):
     kinds = (faults.Kind.STORE_GARBAGE,)
     report = soak.run(2, 5.0, dataclasses.replace(SIZE, hosts=1), tmp_path, kinds)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -118,6 +118,19 @@
     history.vanished.append(records.Vanished(builders.HOST, AT + 2, "status 1"))
 
 
+def send_more_than_a_limit_allows(history):
+    replica = records.InstanceId("i-shard-0")
+    for number in range(12):
+        request = f"limited-{number}"
+        at = AT + 0.5 if number == 0 else AT + 5 + 0.2 * number
+        builders.add_query(history, request, at)
+        run = next(
+            a for a in history.arrivals if a.id == request and a.replica == replica
+        )
+        run.limited_at = run.at
+    history.limited.append(records.Limited(replica, 0.5, AT, AT + 10))
+
+
 FAULTS = {
     answer_with_anothers_signature: "answers",
     answer_with_a_part_twice: "answers",
@@ -133,6 +146,7 @@
     use_an_older_version_too_long: "routes",
     go_back_to_an_older_version: "routes",
     ask_a_replica_that_has_left: "draining",
+    send_more_than_a_limit_allows: "limits",
     cut_a_request_at_the_end: "losses",
     cut_a_request_that_was_read_before: "losses",
     end_with_a_failure: "losses",
@@ -164,6 +178,7 @@
     [
         use_an_older_version_too_long,
         ask_a_replica_that_has_left,
+        send_more_than_a_limit_allows,
         cut_a_request_at_the_end,
         answer_long_after_the_timeout,
     ],
