--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -11,7 +11,7 @@
 import enum
 import itertools
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
@@ -21,7 +21,7 @@
     delegation_messages,
     event_log,
     limit_plan,
-    replica_selection,
+    replica_selector,
     replicas,
     replies,
     routes,
@@ -149,6 +149,9 @@
             self._repeat_from = started_at + terms.hedge_after_s
         self.late_answer_at = self.goal_at + LATE_ANSWER_GOAL_FACTOR * route.goal_s
         self._latency_estimator = shared.get_latency_estimator(route)
+        self._selector = replica_selector.ReplicaSelector(
+            shared, route.max_attempts, self._latency_estimator
+        )
         self._last_chance_hedge_at = -math.inf
         self._timer = None
         configuration = shared.view.configuration
@@ -197,7 +200,7 @@
         self.tools.request_rates.record(tuple(s.service for s in sub_requests), now)
         if not self.tools.rate_limits.has_any():
             return sub_requests
-        needs = {s: self._assess_limits(s, now) for s in sub_requests}
+        needs = {s: self._selector.assess_limits(s, now) for s in sub_requests}
         plan = self.tools.limit_planner.plan(
             needs,
             self._compute_max_delay_s(now),
@@ -208,7 +211,7 @@
                 now=sent, postponed=postponed, unavailable=unavailable
             ):
                 self._mark_limited((*postponed, *unavailable))
-                self._postponed = list(postponed)
+                self._postponed.extend(postponed)
                 return sent
             case limit_plan.Refuse(retry_after_s=retry_after_s):
                 self._mark_limited(sub_requests)
@@ -226,26 +229,6 @@
         expected_latency_s = self._latency_estimator.expected_latency_s
         return max(self.goal_at - expected_latency_s - now, 0.0)
 
-    def _assess_limits(
-        self, sub_request: attempts.SubRequest, now: float
-    ) -> limit_plan.Need:
-        """Return what limits do to the first attempt of a sub-request."""
-        service = sub_request.service
-        view = self.tools.view
-        candidates = view.list_ready(service) or view.list_fallback(service, now)
-        if not candidates:
-            return limit_plan.Need(math.inf, 0.0)
-        available = [r for r in candidates if r.is_available(now)] or candidates
-        limits = self.tools.rate_limits
-        if any(replica.rate_limit_per_s is None for replica in available):
-            return limit_plan.Need(0.0, 0.0)
-        return limit_plan.Need(
-            min(limits.compute_delay_s(replica, now) for replica in available),
-            limits.compute_shortage(
-                available, self.tools.request_rates.estimate_per_s(service, now), now
-            ),
-        )
-
     def _resume_postponed(self, now: float) -> None:
         """Send the sub-requests that were postponed, now that other ones failed."""
         postponed, self._postponed = self._postponed, []
@@ -265,9 +248,10 @@
                 groups = delegation.plan_whole_query(self.tools, self.sub_requests, now)
                 if groups:
                     return groups
-        return delegation.plan_other_zones(
-            self.tools, self._list_in_other_zones(now), now
+        elsewhere = self._selector.list_in_other_zones(
+            self.sub_requests, now, self._compute_max_delay_s(now)
         )
+        return delegation.plan_other_zones(self.tools, elsewhere, now)
 
     def _start_delegation(self, group: delegation.Group) -> None:
         max_left_out = self._count_possible() - self._required_count
@@ -278,28 +262,6 @@
         self._delegations.append(started)
         started.start()
 
-    def _list_in_other_zones(
-        self, now: float
-    ) -> list[tuple[attempts.SubRequest, set[names.ZoneName]]]:
-        """Return the sub-requests that no replica of the own zone should take.
-
-        Each comes with the zones that have a replica for it.
-        """
-        listed = []
-        for sub_request in self.sub_requests:
-            best = self._select_replica(
-                sub_request, now, self._compute_max_delay_s(now)
-            )
-            if best is None or best.registration.zone == self.tools.zone:
-                continue
-            zones = {
-                replica.registration.zone
-                for replica in self.tools.view.list_ready(sub_request.service)
-                if replica.is_available(now)
-            }
-            listed.append((sub_request, zones - {self.tools.zone}))
-        return listed
-
     def handle_delegation_end(self, ended: delegation.Delegation) -> None:
         """Take the parts of an aggregator's answer, or replace the delegation."""
         if self.outcome is not None:
@@ -386,7 +348,7 @@
     ) -> bool:
         """Send an attempt to the best untried replica; return False without one."""
         max_delay_s = self._compute_max_delay_s(now)
-        replica = self._select_replica(sub_request, now, max_delay_s)
+        replica = self._selector.select(sub_request, now, max_delay_s)
         if replica is None:
             if not sub_request.has_pending_attempt():
                 self._mark_done(sub_request)
@@ -427,61 +389,13 @@
         if attempt.connection is None:
             attempt.connection = connection
 
-    def _select_replica(
-        self, sub_request: attempts.SubRequest, now: float, max_delay_s: float = 0.0
-    ) -> replicas.Replica | None:
-        """Return the best replica for one more attempt, if the route allows one.
-
-        Its rate limit delays the attempt by at most `max_delay_s`. If no further
-        replica is allowed or left, one that refused once may be retried.
-        """
-        view = self.tools.view
-        refused = sub_request.list_replicas_to_retry()
-        if sub_request.count_attempted_replicas() >= self.route.max_attempts:
-            return self._select_among(refused, now, max_delay_s)
-        tried = [attempt.replica for attempt in sub_request.attempts]
-        ready = view.list_ready(sub_request.service)
-        return (
-            self._select_among(ready, now, max_delay_s, tried)
-            or self._select_among(
-                view.list_fallback(sub_request.service, now), now, max_delay_s, tried
-            )
-            or self._select_among(refused, now, max_delay_s)
-        )
-
-    def _select_among(
-        self,
-        candidates: list[replicas.Replica],
-        now: float,
-        max_delay_s: float,
-        tried: Collection[replicas.Replica] = (),
-    ) -> replicas.Replica | None:
-        shared = self.tools
-        delays_s = {}
-        if shared.rate_limits.has_any():
-            delays_s = {
-                replica: shared.rate_limits.compute_delay_s(replica, now)
-                for replica in candidates
-            }
-            candidates = [r for r in candidates if delays_s[r] <= max_delay_s]
-        return replica_selection.select_replica(
-            candidates,
-            shared.zone,
-            shared.zone_detector,
-            self._latency_estimator.expected_latency_s,
-            now,
-            shared.rng,
-            tried,
-            delays_s,
-        )
-
     def _send_extra_attempt(
         self, sub_request: attempts.SubRequest, reason: str, waited_s: float, now: float
     ) -> bool:
         """Send a retry or hedge if route, retry budget and replicas allow it."""
         if not self._may_repeat(sub_request, now):
             return False
-        replica = self._select_replica(sub_request, now)
+        replica = self._selector.select(sub_request, now)
         if replica is None:
             return False
         if reason == HEDGE_REASON and not replica.is_fit_for_hedge(now):
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -6,7 +6,7 @@
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import coordinator, routes
+from corianderrill.gateway import coordinator, replica_selection, routes
 from tests.utils import virtual_servers
 
 SEEDS = (1, 2, 3)
@@ -257,15 +257,13 @@
 
 def test_each_attempt_goes_to_the_selected_replica(monkeypatch):
     selected = []
-    select = coordinator.replica_selection.select_replica
+    select = replica_selection.select_replica
 
     def record_selection(*arguments):
         selected.append(select(*arguments))
         return selected[-1]
 
-    monkeypatch.setattr(
-        coordinator.replica_selection, "select_replica", record_selection
-    )
+    monkeypatch.setattr(replica_selection, "select_replica", record_selection)
     site = virtual_servers.Site(shards=1)
     site.servers[0].silent = [(0.0, 1.0)]
     site.ask()
