--- a/tests/test_gateway_aggregator_role.py
+++ b/tests/test_gateway_aggregator_role.py
@@ -7,53 +7,13 @@
 from corianderrill import names
 from corianderrill.gateway import aggregator_role, aggregators, retry_budget
 from corianderrill.platform import documents, store
+from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
 ADDRESS = names.Address("10.0.0.1", 7420)
 MANY_HOSTS = 64.0
 
 
-class FakeClient:
-    """A store client with keys under leases."""
-
-    def __init__(self):
-        self.keys = {}
-        self.leases = set()
-        self.is_down = False
-
-    def _check(self):
-        if self.is_down:
-            raise store.StoreError(store.FailureKind.UNREACHABLE, "down")
-
-    def list_keys(self, prefix):
-        self._check()
-        return {key for key in self.keys if key.startswith(prefix)}
-
-    def grant_lease(self, ttl_s):
-        self._check()
-        lease = store.LeaseId(len(self.leases) + 1)
-        self.leases.add(lease)
-        return lease
-
-    def keep_lease(self, lease):
-        self._check()
-        return lease in self.leases
-
-    def end_lease(self, lease):
-        self._check()
-        self.leases.discard(lease)
-        self.keys = {
-            k: (v, held) for k, (v, held) in self.keys.items() if held != lease
-        }
-
-    def create_key(self, key, value, lease):
-        self._check()
-        if key in self.keys:
-            return False
-        self.keys[key] = (value, lease)
-        return True
-
-
 class Log:
     def __init__(self):
         self.changes = []
@@ -67,7 +27,7 @@
     if confirmed:
         view.confirmed_at = 1.0
     return aggregator_role.AggregatorRole(
-        client or FakeClient(),
+        client or fake_stores.LeaseClient(),
         builders.build_aggregator_directory(),
         view,
         builders.ZONE,
@@ -103,7 +63,7 @@
 
 
 def test_slot_that_is_taken_in_the_store_is_left_to_its_holder():
-    client = FakeClient()
+    client = fake_stores.LeaseClient()
     first, second, third = (build_role(client) for _ in range(3))
     for role in (first, second, third):
         role._step()
--- a/tests/test_gateway_demand.py
+++ b/tests/test_gateway_demand.py
@@ -10,8 +10,15 @@
 import pytest
 
 from corianderrill import metrics, names
-from corianderrill.gateway import demand, demand_reporter, rate_limits, request_rates
-from corianderrill.platform import documents, store
+from corianderrill.gateway import (
+    demand,
+    demand_reporter,
+    event_log,
+    rate_limits,
+    request_rates,
+)
+from corianderrill.platform import documents
+from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
 SERVICE = names.ServiceName("shard-1")
@@ -110,59 +117,13 @@
         documents.decode_demand("demand/a", value)
 
 
-class FakeClient:
-    """A store client with keys under leases."""
-
-    def __init__(self):
-        self.keys = {}
-        self.leases = set()
-        self.is_down = False
-        self.write_count = 0
-        self._granted = 0
-
-    def _check(self):
-        if self.is_down:
-            raise store.StoreError(store.FailureKind.UNREACHABLE, "down")
-
-    def grant_lease(self, ttl_s):
-        self._check()
-        self._granted += 1
-        self.leases.add(self._granted)
-        return self._granted
-
-    def keep_lease(self, lease):
-        self._check()
-        return lease in self.leases
-
-    def end_lease(self, lease):
-        self._check()
-        self.leases.discard(lease)
-        self.keys.clear()
-
-    def write_key(self, key, value, lease):
-        self._check()
-        if lease not in self.leases:
-            return None
-        self.write_count += 1
-        self.keys[key] = value
-        return 10 + self.write_count
-
-
-class Log:
-    def __init__(self):
-        self.records = []
-
-    def record(self, record):
-        self.records.append(record)
-
-
 class Reporting:
     """A reporter with its clock, and a replica that names a limit."""
 
     def __init__(self):
         self.now = 10.0
-        self.client = FakeClient()
-        self.log = Log()
+        self.client = fake_stores.LeaseClient()
+        self.log = fake_stores.RecordingLog()
         view = builders.build_view()
         view.apply_registration(builders.build_registration(), 2, 0.0)
         (self.replica,) = view.list_ready(SERVICE)
@@ -196,7 +157,7 @@
             self.now += 0.25
 
     def list_outcomes(self):
-        return [r.outcome for r in self.log.records if hasattr(r, "per_s")]
+        return [r.outcome for r in self.log.list_of(event_log.DemandReported)]
 
 
 def test_nothing_is_written_without_limits():
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -8,21 +8,14 @@
 
 from corianderrill import metrics
 from corianderrill.gateway import event_log, rate_limits, replies
+from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
 
-class RecordingLog:
-    def __init__(self):
-        self.records = []
-
-    def record(self, record):
-        self.records.append(record)
-
-
 def build_limits():
     return rate_limits.RateLimits(
         builders.build_demand_directory(),
-        RecordingLog(),
+        fake_stores.RecordingLog(),
         metrics.Recorder(),
     )
 
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -11,6 +11,7 @@
 
 from corianderrill.gateway import change_history, event_log, store_probe, store_watcher
 from corianderrill.platform import store
+from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
 APPLY_DELAY_S = 0.25
@@ -57,23 +58,12 @@
         pass
 
 
-class RecordingLog:
-    def __init__(self):
-        self.records = []
-
-    def record(self, record):
-        self.records.append(record)
-
-    def list_of(self, kind):
-        return [record for record in self.records if isinstance(record, kind)]
-
-
 class Watched:
     """A running watcher and its probe against a fake store client."""
 
     def __init__(self):
         self.client = FakeClient()
-        self.log = RecordingLog()
+        self.log = fake_stores.RecordingLog()
         self.view = builders.build_view()
         rng = random.Random(1)
         self.watcher = store_watcher.StoreWatcher(
--- /dev/null
+++ b/tests/utils/fake_stores.py
@@ -0,0 +1,68 @@
+"""Fakes of the platform's store and of the log, for tests without processes."""
+
+from corianderrill.platform import store
+
+
+class LeaseClient:
+    """A store client with keys under leases; its calls fail while `is_down`."""
+
+    def __init__(self):
+        self.keys = {}
+        self.leases = set()
+        self.is_down = False
+        self.write_count = 0
+        self._granted = 0
+
+    def _check(self):
+        if self.is_down:
+            raise store.StoreError(store.FailureKind.UNREACHABLE, "down")
+
+    def list_keys(self, prefix):
+        self._check()
+        return {key for key in self.keys if key.startswith(prefix)}
+
+    def grant_lease(self, ttl_s):
+        self._check()
+        self._granted += 1
+        lease = store.LeaseId(self._granted)
+        self.leases.add(lease)
+        return lease
+
+    def keep_lease(self, lease):
+        self._check()
+        return lease in self.leases
+
+    def end_lease(self, lease):
+        self._check()
+        self.leases.discard(lease)
+        self.keys = {
+            k: (v, held) for k, (v, held) in self.keys.items() if held != lease
+        }
+
+    def create_key(self, key, value, lease):
+        self._check()
+        if key in self.keys:
+            return False
+        self.keys[key] = (value, lease)
+        return True
+
+    def write_key(self, key, value, lease):
+        self._check()
+        if lease not in self.leases:
+            return None
+        self.write_count += 1
+        self.keys[key] = (value, lease)
+        return 10 + self.write_count
+
+
+class RecordingLog:
+    """An event log that keeps the records."""
+
+    def __init__(self):
+        self.records = []
+
+    def record(self, record):
+        self.records.append(record)
+
+    def list_of(self, kind):
+        return [record for record in self.records if isinstance(record, kind)]
