--- /dev/null
+++ b/tests/test_gateway_watched_demand.py
@@ -0,0 +1,89 @@
+"""Demand reports of other hosts, as the store watcher applies them.
+
+Pattern: reports are written, lapse while the store is away, or are no reports at all.
+"""
+
+import random
+
+from corianderrill import names
+from corianderrill.gateway import change_history, demand, event_log, store_watcher
+from corianderrill.platform import documents, store
+from tests.utils import fake_stores
+from tests.utils import gateway_builders as builders
+
+HOST = names.HostName("front-2")
+KEY = store.Key("demand/front-2")
+SERVICE = names.ServiceName("shard-1")
+
+
+class ScriptedClient:
+    """A store client that answers reads and watches in the given order."""
+
+    def __init__(self, *batches):
+        self.batches = list(batches)
+
+    def read_range(self, prefix, after, allow_stale=False):
+        return self.batches.pop(0)
+
+    def watch(self, prefix, after, wait_s):
+        return self.batches.pop(0)
+
+
+class FakePools:
+    def retain(self, addresses):
+        pass
+
+
+def build_item(revision, per_s=None, value=None):
+    if per_s is not None:
+        report = demand.DemandReport(HOST, builders.ZONE, {SERVICE: per_s})
+        value = documents.encode_demand(report)
+    return store.Item(KEY, revision, value)
+
+
+def build_watcher(*batches):
+    return store_watcher.StoreWatcher(
+        ScriptedClient(*batches),
+        builders.build_view(),
+        FakePools(),
+        builders.build_aggregator_directory(),
+        builders.build_demand_directory(),
+        builders.ZONE,
+        fake_stores.RecordingLog(),
+        random.Random(1),
+        change_history.ChangeHistory(),
+        batch_delay_s=0.0,
+        min_batch_delay_s=0.0,
+    )
+
+
+def test_reports_are_applied_and_removed_with_their_keys():
+    watcher = build_watcher(
+        store.Batch((build_item(4, per_s=3.0),), 5),
+        store.Batch((build_item(6),), 6),
+    )
+    watcher._read_all()
+    assert watcher.demand.list_hosts() == {HOST}
+    watcher._watch_once()
+    assert not watcher.demand.list_hosts()
+
+
+def test_report_that_lapsed_unseen_is_forgotten_when_all_keys_are_read_again():
+    watcher = build_watcher(
+        store.Batch((build_item(4, per_s=3.0),), 5), store.Batch((), 9)
+    )
+    watcher._read_all()
+    watcher._read_all()
+    assert not watcher.demand.list_hosts()
+
+
+def test_key_that_is_no_report_is_skipped_with_a_line_and_the_one_before_stays():
+    watcher = build_watcher(
+        store.Batch((build_item(4, per_s=3.0),), 5),
+        store.Batch((build_item(6, value=b"{nonsense"),), 6),
+    )
+    watcher._read_all()
+    watcher._watch_once()
+    assert watcher.demand.list_hosts() == {HOST}
+    (skipped,) = watcher.log.list_of(event_log.EntrySkipped)
+    assert skipped.key == KEY
