--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -61,6 +61,10 @@
     _revisions: dict[names.HostName, view.StoreRevision] = dataclasses.field(
         default_factory=dict
     )
+    # By service and zone of the replica; sums over many hosts.
+    _total_weights: dict[tuple[names.ServiceName, names.ZoneName], float] = (
+        dataclasses.field(default_factory=dict)
+    )
     _settled_at: dict[names.ServiceName, float] = dataclasses.field(
         default_factory=dict
     )
@@ -80,6 +84,7 @@
             self._reports.pop(host, None)
         else:
             self._reports[host] = report
+        self._total_weights.clear()
         if host == self.own_host:
             self._update_settling(now)
         return True
@@ -109,7 +114,7 @@
         most an even share.
         """
         even = 1.0 / max(self.host_count, 1.0)
-        total = sum(report.weigh(service, zone) for report in self._reports.values())
+        total = self._get_total_weight(service, zone)
         own = self.get_own()
         own_weight = 0.0 if own is None else own.weigh(service, zone)
         if not own_weight:
@@ -118,3 +123,14 @@
         if self._settled_at[service] <= now < self.lease_until:
             return share
         return min(share, even)
+
+    def _get_total_weight(
+        self, service: names.ServiceName, zone: names.ZoneName
+    ) -> float:
+        total = self._total_weights.get((service, zone))
+        if total is None:
+            total = sum(
+                report.weigh(service, zone) for report in self._reports.values()
+            )
+            self._total_weights[service, zone] = total
+        return total
