--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -45,14 +45,13 @@
     """One attempt to get a reply from one replica.
 
     `started_at` is when the connection pool got it, `sent_at` when a connection began
-    to send it. Until `send_timer` fires, it waits for the rate limit of its replica,
-    where it `has_reservation` until it is sent or given up.
+    to send it. `used_limit` is set if it counts toward the rate limit of its replica.
     """
 
     __slots__ = (
         *("owner", "sub_request", "replica", "reason", "started_at", "sent_at"),
         *("ended_at", "outcome", "connection", "pool", "idempotent"),
-        *("send_timer", "has_reservation"),
+        "used_limit",
     )
 
     def __init__(
@@ -74,8 +73,7 @@
         self.connection: connections.Connection | None = None
         self.pool: pools.ConnectionPool | None = None
         self.idempotent = owner.is_idempotent
-        self.send_timer: loop.Timer | None = None
-        self.has_reservation = False
+        self.used_limit = False
 
     def render(self) -> bytes:
         """Return the bytes of the request, with its remaining time as the deadline."""
@@ -113,8 +111,6 @@
 
     def cancel(self) -> None:
         """Close the connection of the attempt, or remove it from the pool's queue."""
-        if self.send_timer is not None:
-            self.send_timer.cancel()
         if self.connection is not None:
             self.connection.abort(self)
         elif self.pool is not None:
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -201,12 +201,8 @@
         if not self.tools.rate_limits.has_any():
             return sub_requests
         needs = {s: self._selector.assess_limits(s, now) for s in sub_requests}
-        plan = self.tools.limit_planner.plan(
-            needs,
-            self._compute_max_delay_s(now),
-            self._count_possible() - self._required_count,
-        )
-        match plan:
+        max_left_out = self._count_possible() - self._required_count
+        match self.tools.limit_planner.plan(needs, max_left_out):
             case limit_plan.Send(
                 now=sent, postponed=postponed, unavailable=unavailable
             ):
@@ -224,11 +220,6 @@
             self._mark_done(sub_request)
             self.tools.meter.count(metrics.GATEWAY_LIMITED_SUB_REQUESTS)
 
-    def _compute_max_delay_s(self, now: float) -> float:
-        """Return how long an attempt may wait and still be answered by the goal."""
-        expected_latency_s = self._latency_estimator.expected_latency_s
-        return max(self.goal_at - expected_latency_s - now, 0.0)
-
     def _resume_postponed(self, now: float) -> None:
         """Send the sub-requests that were postponed, now that other ones failed."""
         postponed, self._postponed = self._postponed, []
@@ -248,9 +239,7 @@
                 groups = delegation.plan_whole_query(self.tools, self.sub_requests, now)
                 if groups:
                     return groups
-        elsewhere = self._selector.list_in_other_zones(
-            self.sub_requests, now, self._compute_max_delay_s(now)
-        )
+        elsewhere = self._selector.list_in_other_zones(self.sub_requests, now)
         return delegation.plan_other_zones(self.tools, elsewhere, now)
 
     def _start_delegation(self, group: delegation.Group) -> None:
@@ -347,8 +336,7 @@
         self, sub_request: attempts.SubRequest, reason: str, now: float
     ) -> bool:
         """Send an attempt to the best untried replica; return False without one."""
-        max_delay_s = self._compute_max_delay_s(now)
-        replica = self._selector.select(sub_request, now, max_delay_s)
+        replica = self._selector.select(sub_request, now)
         if replica is None:
             if not sub_request.has_pending_attempt():
                 self._mark_done(sub_request)
@@ -363,21 +351,12 @@
         reason: str,
         now: float,
     ) -> None:
-        delay_s = self.tools.rate_limits.reserve(replica, now)
-        attempt = attempts.Attempt(self, sub_request, replica, reason, now + delay_s)
-        attempt.has_reservation = replica.rate_limit_per_s is not None
+        attempt = attempts.Attempt(self, sub_request, replica, reason, now)
         sub_request.attempts.append(attempt)
-        if delay_s > 0.0:
-            attempt.send_timer = self.loop.call_later(
-                delay_s, self._pass_to_pool, attempt
-            )
-        else:
-            self._pass_to_pool(attempt)
-
-    def _pass_to_pool(self, attempt: attempts.Attempt) -> None:
-        replica = attempt.replica
-        replica.record_start(attempt, attempt.started_at)
-        service = self._service_configs.get(attempt.sub_request.service)
+        replica.record_start(attempt, now)
+        self.tools.rate_limits.acquire(replica, now)
+        attempt.used_limit = replica.rate_limit_per_s is not None
+        service = self._service_configs.get(sub_request.service)
         max_connections = (
             DEFAULT_MAX_CONNECTIONS if service is None else service.max_connections
         )
@@ -486,7 +465,7 @@
                 replica.record_replaced(attempt)
             case replies.AttemptOutcome.UNSENT:
                 replica.record_connect_failure(attempt, now)
-                self._release_reservation(attempt, now)
+                self._release_limit(attempt, now)
 
     def _update_sub_request(
         self,
@@ -709,12 +688,12 @@
         for attempt in candidates:
             if attempt.ended_at is None and attempt.sent_at is None:
                 attempt.replica.forget_attempt(attempt)
-                self._release_reservation(attempt, self.loop.now())
+                self._release_limit(attempt, self.loop.now())
                 self._cancel(attempt, "withdrawn")
 
-    def _release_reservation(self, attempt: attempts.Attempt, now: float) -> None:
-        if attempt.has_reservation:
-            attempt.has_reservation = False
+    def _release_limit(self, attempt: attempts.Attempt, now: float) -> None:
+        if attempt.used_limit:
+            attempt.used_limit = False
             self.tools.rate_limits.release(attempt.replica, now)
 
     def _record_overdue_attempts(self, pending: list[attempts.Attempt]) -> None:
--- a/corianderrill/gateway/limit_plan.py
+++ b/corianderrill/gateway/limit_plan.py
@@ -25,7 +25,7 @@
 class Need:
     """What limits do to one sub-request.
 
-    `delay_s` is how long it has to wait; infinite without any replica. `shortage` is
+    It may be sent in `delay_s`, which is infinite without any replica. `shortage` is
     the share of the requests to its shard that the limits do not allow, 0 to 1.
     """
 
@@ -65,20 +65,17 @@
     def plan(
         self,
         needs: Mapping[attempts.SubRequest, Need],
-        max_delay_s: float,
         max_left_out: int,
     ) -> Send | Refuse:
         """Return what to send; at most `max_left_out` sub-requests may be left out.
 
-        A sub-request that would have to wait for more than `max_delay_s` is
-        unavailable.
+        A sub-request that may not be sent now is unavailable.
         """
-        unavailable = [s for s, need in needs.items() if need.delay_s > max_delay_s]
+        unavailable = [s for s, need in needs.items() if need.delay_s > 0.0]
         spare = max_left_out - len(unavailable)
         if spare < 0:
             delays_s = sorted(needs[sub_request].delay_s for sub_request in unavailable)
-            wait_s = delays_s[-spare - 1] - max_delay_s
-            return Refuse(min(wait_s, MAX_RETRY_AFTER_S))
+            return Refuse(min(delays_s[-spare - 1], MAX_RETRY_AFTER_S))
         self._charge(needs)
         postponed = self._select_owed(needs.keys() - unavailable)[:spare]
         left_out = {*unavailable, *postponed}
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -2,8 +2,9 @@
 
 A replica in need names how many requests a second it accepts from all hosts together,
 for as long as its replies say so. A host spaces its requests to such a replica by its
-share of the limit (a generic cell rate algorithm): each request reserves the next
-interval, and a request that is not sent gives it back.
+share of the limit (a generic cell rate algorithm). A request that finds no share left
+goes elsewhere or is not sent; none waits, since those with the most time would then use
+up the share of those with the least.
 """
 
 import dataclasses
@@ -112,7 +113,7 @@
         return {replica.registration.service for replica in self._limited}
 
     def compute_delay_s(self, replica: replicas.Replica, now: float) -> float:
-        """Return how long the next request to a replica has to wait, in seconds."""
+        """Return when the limit allows the next request to a replica, in seconds."""
         if replica.rate_limit_per_s is None:
             return 0.0
         interval_s = self._compute_interval_s(replica, now)
@@ -130,17 +131,15 @@
             return 0.0
         return max(1.0 - USABLE_SHARE * allowed_per_s / demand_per_s, 0.0)
 
-    def reserve(self, replica: replicas.Replica, now: float) -> float:
-        """Reserve the next request to a replica; return how long it has to wait."""
+    def acquire(self, replica: replicas.Replica, now: float) -> None:
+        """Use the share of this host for one request to a replica."""
         if replica.rate_limit_per_s is None:
-            return 0.0
-        delay_s = self.compute_delay_s(replica, now)
+            return
         interval_s = self._compute_interval_s(replica, now)
         replica.next_slot_at = max(replica.next_slot_at, now) + interval_s
-        return delay_s
 
     def release(self, replica: replicas.Replica, now: float) -> None:
-        """Give back a reservation whose request was not sent."""
+        """Give back what was acquired for a request that was not sent."""
         if replica.rate_limit_per_s is not None:
             replica.next_slot_at -= self._compute_interval_s(replica, now)
 
--- a/corianderrill/gateway/replica_selection.py
+++ b/corianderrill/gateway/replica_selection.py
@@ -5,8 +5,7 @@
 """
 
 import random
-import types
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Sequence
 
 from corianderrill import names
 from corianderrill.gateway import replicas, zone_health
@@ -32,12 +31,9 @@
     now: float,
     rng: random.Random,
     exclude: Collection[replicas.Replica] = (),
-    delays_s: Mapping[replicas.Replica, float] = types.MappingProxyType({}),
 ) -> replicas.Replica | None:
     """Return the candidate with the lowest cost, or None if there is none.
 
-    `delays_s` is how long an attempt would have to wait for a candidate's rate limit.
-
     An unavailable candidate is returned only if no candidate is available, a replaced
     one never.
     """
@@ -51,7 +47,6 @@
         key=lambda replica: (
             compute_cost_s(replica, own_zone, zone_detector, expected_latency_s, now)
             * (1.0 + COST_JITTER * rng.random())
-            + delays_s.get(replica, 0.0)
         ),
     )
 
--- a/corianderrill/gateway/replica_selector.py
+++ b/corianderrill/gateway/replica_selector.py
@@ -1,7 +1,7 @@
 """Selects replicas for the sub-requests of one request.
 
-It combines what a request allows (attempts, replicas tried before, how long it may
-wait) with what the host knows of the replicas.
+It combines what a request allows (attempts, replicas tried before) with what the host
+knows of the replicas.
 """
 
 import dataclasses
@@ -31,42 +31,39 @@
     latency_estimator: latency.LatencyEstimator
 
     def select(
-        self, sub_request: attempts.SubRequest, now: float, max_delay_s: float = 0.0
+        self, sub_request: attempts.SubRequest, now: float
     ) -> replicas.Replica | None:
         """Return the best replica for one more attempt, if the route allows one.
 
-        Its rate limit delays the attempt by at most `max_delay_s`. If no further
-        replica is allowed or left, one that refused once may be retried.
+        If no further replica is allowed or left, one that refused once may be retried.
         """
         view = self.shared.view
         refused = sub_request.list_replicas_to_retry()
         if sub_request.count_attempted_replicas() >= self.max_attempts:
-            return self._select_among(refused, now, max_delay_s)
+            return self._select_among(refused, now)
         tried = [attempt.replica for attempt in sub_request.attempts]
         ready = view.list_ready(sub_request.service)
         return (
-            self._select_among(ready, now, max_delay_s, tried)
+            self._select_among(ready, now, tried)
             or self._select_among(
-                view.list_fallback(sub_request.service, now), now, max_delay_s, tried
+                view.list_fallback(sub_request.service, now), now, tried
             )
-            or self._select_among(refused, now, max_delay_s)
+            or self._select_among(refused, now)
         )
 
     def _select_among(
         self,
         candidates: list[replicas.Replica],
         now: float,
-        max_delay_s: float,
         tried: Collection[replicas.Replica] = (),
     ) -> replicas.Replica | None:
         shared = self.shared
-        delays_s = {}
         if shared.rate_limits.has_any():
-            delays_s = {
-                replica: shared.rate_limits.compute_delay_s(replica, now)
+            candidates = [
+                replica
                 for replica in candidates
-            }
-            candidates = [r for r in candidates if delays_s[r] <= max_delay_s]
+                if shared.rate_limits.compute_delay_s(replica, now) == 0.0
+            ]
         return replica_selection.select_replica(
             candidates,
             shared.zone,
@@ -75,7 +72,6 @@
             now,
             shared.rng,
             tried,
-            delays_s,
         )
 
     def assess_limits(
@@ -101,7 +97,6 @@
         self,
         sub_requests: Sequence[attempts.SubRequest],
         now: float,
-        max_delay_s: float,
     ) -> list[tuple[attempts.SubRequest, set[names.ZoneName]]]:
         """Return the sub-requests that no replica of the own zone should take.
 
@@ -110,7 +105,7 @@
         own_zone = self.shared.zone
         listed = []
         for sub_request in sub_requests:
-            best = self.select(sub_request, now, max_delay_s)
+            best = self.select(sub_request, now)
             if best is None or best.registration.zone == own_zone:
                 continue
             zones = {
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -84,8 +84,8 @@
     Times are in seconds of this host's monotonic clock. `pending_attempts` maps each
     attempt without an outcome to its start. The weights are counts of outcomes that
     decay with time. `rate_limit_per_s` is how many requests a second the replica takes
-    from all hosts together, None without a limit; this host's share of it is
-    reserved until `next_slot_at`.
+    from all hosts together, None without a limit; this host has used its share of it
+    up to `next_slot_at`.
     """
 
     registration: Registration
