--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -109,7 +109,7 @@
         terms: delegation_messages.Terms | None = None,
         is_caller_connected: Callable[[], bool] = lambda: True,
     ) -> None:
-        self.tools = shared
+        self.shared = shared
         self.loop = shared.loop
         self._on_finished = on_finished
         self.request = request
@@ -184,7 +184,7 @@
     def _start_first_attempts(
         self, sub_requests: Sequence[attempts.SubRequest], now: float
     ) -> None:
-        self.tools.retry_budget.record_requests(
+        self.shared.retry_budget.record_requests(
             tuple(sub_request.service for sub_request in sub_requests), now
         )
         for sub_request in sub_requests:
@@ -197,12 +197,12 @@
         self, sub_requests: Sequence[attempts.SubRequest], now: float
     ) -> Sequence[attempts.SubRequest]:
         """Return the sub-requests to send now; mark the others as limited and done."""
-        self.tools.request_rates.record(tuple(s.service for s in sub_requests), now)
-        if not self.tools.rate_limits.has_any():
+        self.shared.request_rates.record(tuple(s.service for s in sub_requests), now)
+        if not self.shared.rate_limits.has_any():
             return sub_requests
         needs = {s: self._selector.assess_limits(s, now) for s in sub_requests}
         max_left_out = self._count_possible() - self._required_count
-        match self.tools.limit_planner.plan(needs, max_left_out):
+        match self.shared.limit_planner.plan(needs, max_left_out):
             case limit_plan.Send(
                 now=sent, postponed=postponed, unavailable=unavailable
             ):
@@ -218,7 +218,7 @@
         for sub_request in sub_requests:
             sub_request.is_limited = True
             self._mark_done(sub_request)
-            self.tools.meter.count(metrics.GATEWAY_LIMITED_SUB_REQUESTS)
+            self.shared.meter.count(metrics.GATEWAY_LIMITED_SUB_REQUESTS)
 
     def _resume_postponed(self, now: float) -> None:
         """Send the sub-requests that were postponed, now that other ones failed."""
@@ -236,18 +236,20 @@
             case delegation.Mode.NOTHING:
                 return []
             case delegation.Mode.WHOLE_QUERY:
-                groups = delegation.plan_whole_query(self.tools, self.sub_requests, now)
+                groups = delegation.plan_whole_query(
+                    self.shared, self.sub_requests, now
+                )
                 if groups:
                     return groups
         elsewhere = self._selector.list_in_other_zones(self.sub_requests, now)
-        return delegation.plan_other_zones(self.tools, elsewhere, now)
+        return delegation.plan_other_zones(self.shared, elsewhere, now)
 
     def _start_delegation(self, group: delegation.Group) -> None:
         max_left_out = self._count_possible() - self._required_count
         for sub_request in group.sub_requests:
             sub_request.is_delegated = True
         min_parts = max(len(group.sub_requests) - max_left_out, 1)
-        started = delegation.Delegation(self, self.tools, group, min_parts)
+        started = delegation.Delegation(self, self.shared, group, min_parts)
         self._delegations.append(started)
         started.start()
 
@@ -354,15 +356,15 @@
         attempt = attempts.Attempt(self, sub_request, replica, reason, now)
         sub_request.attempts.append(attempt)
         replica.record_start(attempt, now)
-        self.tools.rate_limits.acquire(replica, now)
+        self.shared.rate_limits.acquire(replica, now)
         attempt.used_limit = replica.rate_limit_per_s is not None
         service = self._service_configs.get(sub_request.service)
         max_connections = (
             DEFAULT_MAX_CONNECTIONS if service is None else service.max_connections
         )
-        is_same_zone = replica.registration.zone == self.tools.zone
+        is_same_zone = replica.registration.zone == self.shared.zone
         address = replica.registration.address
-        attempt.pool = self.tools.pools.get(address, max_connections, is_same_zone)
+        attempt.pool = self.shared.pools.get(address, max_connections, is_same_zone)
         attempt.pool.set_slots(replica.registration.slots)
         connection = attempt.pool.send(attempt)
         if attempt.connection is None:
@@ -381,14 +383,14 @@
             # The pending attempt is more likely to succeed, or the share of a limit is
             # better kept for another request.
             return False
-        if not self.tools.retry_budget.try_spend(sub_request.service, now):
+        if not self.shared.retry_budget.try_spend(sub_request.service, now):
             self.denied_extra_attempts += 1
-            self.tools.meter.count(metrics.GATEWAY_REPEATS_DENIED)
+            self.shared.meter.count(metrics.GATEWAY_REPEATS_DENIED)
             return False
         self.extra_attempts += 1
         self._send_attempt(sub_request, replica, reason, now)
-        self.tools.meter.count(metrics.GATEWAY_REPEATS, reason)
-        self.tools.log.record(
+        self.shared.meter.count(metrics.GATEWAY_REPEATS, reason)
+        self.shared.log.record(
             event_log.Repeated(
                 request_id=self.request.id,
                 service=sub_request.service,
@@ -425,7 +427,7 @@
                 reply = requests.decode_reply(result)
                 outcome = replies.classify_reply(reply, self.request.id)
                 if outcome not in _OUTCOMES_OF_OTHER_SENDERS:
-                    self.tools.rate_limits.record_reply(attempt.replica, reply, now)
+                    self.shared.rate_limits.record_reply(attempt.replica, reply, now)
             case connections.FailedExchange(sent=sent):
                 reply = None
                 outcome = (
@@ -434,9 +436,9 @@
                     else replies.AttemptOutcome.UNSENT
                 )
         attempt.outcome = outcome.value
-        self.tools.meter.count(metrics.GATEWAY_ATTEMPTS, outcome.value)
+        self.shared.meter.count(metrics.GATEWAY_ATTEMPTS, outcome.value)
         if reply is not None:
-            self.tools.zone_detector.record_reply(
+            self.shared.zone_detector.record_reply(
                 attempt.replica.registration.zone, now
             )
         self._record_attempt_outcome(attempt, outcome, now)
@@ -694,7 +696,7 @@
     def _release_limit(self, attempt: attempts.Attempt, now: float) -> None:
         if attempt.used_limit:
             attempt.used_limit = False
-            self.tools.rate_limits.release(attempt.replica, now)
+            self.shared.rate_limits.release(attempt.replica, now)
 
     def _record_overdue_attempts(self, pending: list[attempts.Attempt]) -> None:
         """Report overdue attempts, connected or not, to the zone failure detector."""
@@ -704,10 +706,12 @@
             if now - attempt.started_at < overdue_after_s:
                 continue
             zone = attempt.replica.registration.zone
-            if self.tools.zone_detector.record_overdue_attempt(
+            if self.shared.zone_detector.record_overdue_attempt(
                 zone, attempt.started_at, now
             ):
-                self.tools.log.record(event_log.ZoneSuspected(zone, attempt.replica.id))
+                self.shared.log.record(
+                    event_log.ZoneSuspected(zone, attempt.replica.id)
+                )
 
     def _compute_non_idempotent_read_timeout_s(self) -> float:
         return max(self.deadline_at - self.loop.now(), 0.0) + LATE_REPLY_TIMEOUT_S
@@ -715,7 +719,7 @@
     def _cancel(self, attempt: attempts.Attempt, outcome: str) -> None:
         attempt.ended_at = self.loop.now()
         attempt.outcome = outcome
-        self.tools.meter.count(metrics.GATEWAY_ATTEMPTS, outcome)
+        self.shared.meter.count(metrics.GATEWAY_ATTEMPTS, outcome)
         attempt.cancel()
 
     def _cancel_unanswered(self, pending: list[attempts.Attempt]) -> None:
