--- a/corianderrill/gateway/limit_plan.py
+++ b/corianderrill/gateway/limit_plan.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 from corianderrill import names
@@ -46,10 +47,11 @@
 class Refuse:
     """Send nothing: too few shards can be reached.
 
-    After `retry_after_s` there should be enough, in seconds.
+    After `retry_after_s` there should be enough, in seconds; it is None if some shards
+    that are needed have no replica at all.
     """
 
-    retry_after_s: float
+    retry_after_s: float | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,9 +77,13 @@
         spare = max_left_out - len(unavailable)
         if spare < 0:
             delays_s = sorted(needs[sub_request].delay_s for sub_request in unavailable)
-            return Refuse(min(delays_s[-spare - 1], MAX_RETRY_AFTER_S))
+            delay_s = delays_s[-spare - 1]
+            return Refuse(
+                min(delay_s, MAX_RETRY_AFTER_S) if math.isfinite(delay_s) else None
+            )
         self._charge(needs)
-        postponed = self._select_owed(needs.keys() - unavailable)[:spare]
+        available = [s for s in needs if s not in unavailable]
+        postponed = self._select_owed(available)[:spare]
         left_out = {*unavailable, *postponed}
         for sub_request in left_out:
             self._owed[sub_request.service] = self._get_owed(sub_request) - 1.0
--- a/tests/test_gateway_limit_plan.py
+++ b/tests/test_gateway_limit_plan.py
@@ -72,3 +72,12 @@
     )
     assert [s.index for s in planned.unavailable] == [0]
     assert len(planned.now) == 3
+
+
+def test_refusal_for_lack_of_replicas_names_no_time():
+    needs = {index: limit_plan.Need(math.inf, 0.0) for index in range(2)}
+    needs[2] = limit_plan.Need(0.3, 0.5)
+    planned = plan(limit_plan.LimitPlanner(), build_sub_requests(4), needs, 2)
+    assert planned == limit_plan.Refuse(0.3)
+    planned = plan(limit_plan.LimitPlanner(), build_sub_requests(4), needs, 1)
+    assert planned == limit_plan.Refuse(None)
