--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 
 from corianderrill import names
-from corianderrill.gateway import view
+from corianderrill.gateway import replicas, view
 
 # Hosts of other availability zones than the replica's use it when their own replicas
 # are short, so they need less of its limit.
@@ -28,11 +28,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandReport:
-    """The requests a second that a host has for services whose replicas are limited."""
+    """What a host tells the others while replicas name limits.
+
+    `requests_per_s` is its demand for each service with a limited replica. `lifted` are
+    the replicas that it just saw without the limit they had.
+    """
 
     host: names.HostName
     zone: names.ZoneName
     requests_per_s: Mapping[names.ServiceName, float]
+    lifted: frozenset[replicas.InstanceId] = frozenset()
 
     def weigh(self, service: names.ServiceName, zone: names.ZoneName) -> float:
         """Return the weight of the host for a replica of a service in a zone."""
--- a/corianderrill/gateway/demand_reporter.py
+++ b/corianderrill/gateway/demand_reporter.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import eventlet
 
@@ -79,14 +79,18 @@
     def _update(self) -> None:
         now = self.clock()
         services = self.limits.list_services(self.view)
-        if not services:
+        lifted = self.limits.list_lifted(now)
+        if not services and not lifted:
             self._withdraw_if_unused(now)
             return
         if self._needed_at is None:
             # Most hosts hear of a limit at the same time.
             self._write_at = now + self.rng.random() * self._compute_spread_s()
         self._needed_at = now
-        current = {s: round(self.rates.estimate_per_s(s, now), 2) for s in services}
+        rates = {s: round(self.rates.estimate_per_s(s, now), 2) for s in services}
+        current = demand.DemandReport(
+            self.limits.directory.own_host, self.zone, rates, lifted
+        )
         if now >= self._write_at and self._is_outdated(current):
             self._publish(current, now)
         elif self._lease is not None and now - self._renewed_at >= RENEWAL_INTERVAL_S:
@@ -95,22 +99,21 @@
     def _compute_spread_s(self) -> float:
         return self.limits.directory.host_count / MAX_TOTAL_WRITES_PER_S
 
-    def _is_outdated(self, current: Mapping[names.ServiceName, float]) -> bool:
+    def _is_outdated(self, current: demand.DemandReport) -> bool:
         own = self.limits.directory.get_own()
         if self._lease is None or own is None:
             return True
-        return any(
+        return not current.lifted <= own.lifted or any(
             service not in own.requests_per_s
             or _differ(own.requests_per_s[service], per_s)
-            for service, per_s in current.items()
+            for service, per_s in current.requests_per_s.items()
         )
 
-    def _publish(self, current: Mapping[names.ServiceName, float], now: float) -> None:
+    def _publish(self, report: demand.DemandReport, now: float) -> None:
         directory = self.limits.directory
         if self._lease is None:
             self._lease = self.client.grant_lease(LEASE_TTL_S)
             self._extend(now)
-        report = demand.DemandReport(directory.own_host, self.zone, current)
         revision = self.client.write_key(
             documents.format_demand_key(directory.own_host),
             documents.encode_demand(report),
@@ -123,7 +126,7 @@
         interval_s = max(MIN_WRITE_INTERVAL_S, self._compute_spread_s())
         self._write_at = done_at + interval_s
         directory.apply(directory.own_host, report, revision, done_at)
-        self._record(ReportOutcome.PUBLISHED, sum(current.values()))
+        self._record(ReportOutcome.PUBLISHED, sum(report.requests_per_s.values()))
 
     def _extend(self, sent_at: float) -> None:
         # The lease runs from the arrival of the call, which is later.
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -170,7 +170,8 @@
     """A replica named a rate limit, another one than before, or none any more.
 
     `per_s` is the limit for all hosts together, in requests a second; it is None if
-    the replica names none any more. `outcome` is "applied", "lifted" or "invalid".
+    the replica names none any more. `outcome` tells whether the limit was applied, or
+    lifted (here or by the report of another host), or was invalid.
     """
 
     replica: str
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -100,7 +100,7 @@
             zone_detector=zone_health.ZoneFailureDetector(),
             aggregators=aggregators.AggregatorDirectory(host_settings.host),
             query_rate=query_rate.QueryRate(),
-            rate_limits=rate_limits.RateLimits(self._demand, self.log, meter),
+            rate_limits=rate_limits.RateLimits(self._demand, self.log, meter, rng),
             request_rates=request_rates.RequestRates(loop.read_clock()),
         )
         self._app = wsgi_app.GatewayApp(self._shared)
@@ -117,7 +117,7 @@
             self._view,
             self._pools,
             self._shared.aggregators,
-            self._demand,
+            self._shared.rate_limits,
             host_settings.zone,
             self.log,
             rng,
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+import random
 from collections.abc import Iterable
 
 from corianderrill import metrics, names
@@ -21,7 +22,9 @@
 USABLE_SHARE = 0.95
 # All hosts together send at least this rate, however low a limit is, since only a reply
 # shows that it has been lifted.
-MIN_TOTAL_PER_S = 0.5
+MIN_TOTAL_PER_S = 1.0
+# How long a host tells the others that a limit was lifted.
+LIFT_NEWS_S = 5.0
 
 
 class NoticeOutcome(enum.Enum):
@@ -29,6 +32,7 @@
 
     APPLIED = "applied"
     LIFTED = "lifted"
+    LIFTED_ELSEWHERE = "lifted-elsewhere"
     INVALID = "invalid"
 
 
@@ -42,7 +46,11 @@
     directory: demand.DemandDirectory
     log: event_log.EventLog
     meter: metrics.Recorder
+    rng: random.Random
     _limited: set[replicas.Replica] = dataclasses.field(default_factory=set)
+    _lifted_at: dict[replicas.InstanceId, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def record_reply(
         self, replica: replicas.Replica, reply: replies.Reply, now: float
@@ -54,6 +62,7 @@
         """
         match reply.rate_limit:
             case replies.RateLimit(requests_per_s):
+                replica.rate_limit_named_at = now
                 if requests_per_s != replica.rate_limit_per_s:
                     self._apply(replica, requests_per_s, now)
             case replies.InvalidRateLimit(text):
@@ -64,7 +73,36 @@
             case None if (
                 replica.rate_limit_per_s is not None and 200 <= reply.status < 300
             ):
-                self._lift(replica)
+                self._lift(replica, NoticeOutcome.LIFTED)
+                self._lifted_at[replica.id] = now
+
+    def apply_report(
+        self,
+        host: names.HostName,
+        report: demand.DemandReport | None,
+        revision: view.StoreRevision,
+        now: float,
+    ) -> None:
+        """Apply the report of a host, or its removal.
+
+        A limit that it saw lifted is lifted here as well, unless the replica named it
+        to this host so shortly before that it may name it again.
+        """
+        if not self.directory.apply(host, report, revision, now) or report is None:
+            return
+        for replica in list(self._limited):
+            is_old = now - replica.rate_limit_named_at >= demand.SETTLING_TIME_S
+            if is_old and replica.id in report.lifted:
+                self._lift(replica, NoticeOutcome.LIFTED_ELSEWHERE)
+
+    def list_lifted(self, now: float) -> frozenset[replicas.InstanceId]:
+        """Return the replicas that this host just saw without the limit they had."""
+        self._lifted_at = {
+            replica_id: at
+            for replica_id, at in self._lifted_at.items()
+            if now - at < LIFT_NEWS_S
+        }
+        return frozenset(self._lifted_at)
 
     def _apply(self, replica: replicas.Replica, per_s: float, now: float) -> None:
         before_per_s = replica.rate_limit_per_s
@@ -72,15 +110,18 @@
         if before_per_s is None:
             self._limited.add(replica)
             # Requests that were sent just before count as well, so there is no burst.
+            # Hosts that are told at the same time begin at different ones.
             interval_s = self._compute_interval_s(replica, now)
-            replica.next_slot_at = now + max(interval_s, BURST_S)
+            tolerance_s = max(BURST_S - interval_s, 0.0)
+            delay_s = interval_s * (1.0 - self.rng.random())
+            replica.next_slot_at = now + tolerance_s + delay_s
         self._record(replica, per_s, before_per_s, NoticeOutcome.APPLIED)
 
-    def _lift(self, replica: replicas.Replica) -> None:
+    def _lift(self, replica: replicas.Replica, outcome: NoticeOutcome) -> None:
         before_per_s = replica.rate_limit_per_s
         replica.rate_limit_per_s = None
         self._limited.discard(replica)
-        self._record(replica, None, before_per_s, NoticeOutcome.LIFTED)
+        self._record(replica, None, before_per_s, outcome)
 
     def _record(
         self,
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -19,10 +19,10 @@
 from corianderrill.gateway import (
     aggregators,
     change_history,
-    demand,
     event_log,
     loop,
     pools,
+    rate_limits,
     view,
 )
 from corianderrill.platform import documents, store
@@ -61,7 +61,7 @@
     view: view.View
     pools: pools.PoolManager
     aggregators: aggregators.AggregatorDirectory
-    demand: demand.DemandDirectory
+    limits: rate_limits.RateLimits
     zone: names.ZoneName
     log: event_log.EventLog
     rng: random.Random
@@ -140,9 +140,9 @@
         for replica_id in self.view.list_replica_ids() - listed_ids:
             self._remove_replica(replica_id, oldest_revision, now)
         listed_keys = {item.key for item in items}
-        for host in self.demand.list_hosts():
+        for host in self.limits.directory.list_hosts():
             if documents.format_demand_key(host) not in listed_keys:
-                self.demand.apply(host, None, oldest_revision, now)
+                self.limits.apply_report(host, None, oldest_revision, now)
         for key in self.aggregators.list_keys():
             if documents.format_aggregator_key(key) not in listed_keys:
                 self.aggregators.apply(key, None, oldest_revision)
@@ -284,7 +284,7 @@
         except documents.DocumentError as error:
             self._record_skipped_item(item, str(error))
             return
-        self.demand.apply(host, report, item.revision, now)
+        self.limits.apply_report(host, report, item.revision, now)
 
     def _apply_aggregator_item(self, item: store.Item) -> None:
         try:
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -94,6 +94,8 @@
     zone: str
     # By service.
     requests_per_s: dict[str, float]
+    # The ids of replicas whose limit has ended.
+    lifted: list[str] = []
 
 
 _AGGREGATOR_DECODER = msgspec.json.Decoder(_WireAggregator)
@@ -220,7 +222,9 @@
 
 def encode_demand(report: demand.DemandReport) -> bytes:
     """Return the value of the key of a demand report."""
-    return msgspec.json.encode(_WireDemand(report.zone, dict(report.requests_per_s)))
+    return msgspec.json.encode(
+        _WireDemand(report.zone, dict(report.requests_per_s), sorted(report.lifted))
+    )
 
 
 def decode_demand(key: str, value: bytes) -> demand.DemandReport:
@@ -238,6 +242,7 @@
             names.ServiceName(service): per_s
             for service, per_s in document.requests_per_s.items()
         },
+        frozenset(map(replicas.InstanceId, document.lifted)),
     )
 
 
--- a/tests/test_gateway_shared_limits.py
+++ b/tests/test_gateway_shared_limits.py
@@ -7,11 +7,14 @@
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import coordinator, demand_reporter, routes
+from corianderrill.gateway import coordinator, demand, demand_reporter, routes
 from tests.utils import virtual_fleets
 
 SEEDS = (1, 2, 3)
 LIMITS_FROM_S = 3.0
+LIMITS_END_S = 16.0
+# The platform's time to be in touch again, and that for all hosts to read a report.
+NOTICED_WITHIN_S = virtual_fleets.CONTACT_S + demand.SETTLING_TIME_S
 # Half of what a replica gets when each zone uses its own.
 LIMIT_PER_S = 13.0
 # The target for days with trouble on sites with few hosts.
@@ -120,3 +123,24 @@
     late = fleet.list_ended(since_s=50.0)
     complete = [e for e in late if e.outcome is coordinator.RequestOutcome.COMPLETE]
     assert len(complete) / len(late) > 0.9
+
+
+# Guards against hosts that go on refusing requests long after a limit has ended,
+# because each sends so seldom that it does not hear of the end.
+@pytest.mark.parametrize("hosts", [(4, 3, 3), (14, 13, 13)])
+def test_all_hosts_learn_within_seconds_that_a_low_limit_has_ended(hosts):
+    service = names.ServiceName("shard-0")
+    fleet = virtual_fleets.Fleet(
+        hosts=hosts,
+        shards=1,
+        target=routes.SingleService(service),
+        goal_s=0.288,
+        timeout_s=2.5,
+    )
+    for server in fleet.servers:
+        server.limits = [(LIMITS_FROM_S, LIMITS_END_S, 0.5)]
+    fleet.run((8.0, 8.0, 8.0), until_s=30.0)
+    assert max(compute_excesses(fleet)) <= 0
+    ended = fleet.list_ended(since_s=LIMITS_END_S + NOTICED_WITHIN_S)
+    refused = [e for e in ended if e.outcome is coordinator.RequestOutcome.NOT_EXECUTED]
+    assert not refused
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -1,10 +1,13 @@
 """Builders of registrations, replicas, routes, configurations and views."""
 
-from corianderrill import names
+import random
+
+from corianderrill import metrics, names
 from corianderrill.gateway import (
     aggregators,
     connections,
     demand,
+    rate_limits,
     replicas,
     routes,
     view,
@@ -58,6 +61,11 @@
     return demand.DemandDirectory(names.HostName(host), host_count)
 
 
+def build_rate_limits(log, host="front-1", host_count=1.0):
+    directory = build_demand_directory(host, host_count)
+    return rate_limits.RateLimits(directory, log, metrics.Recorder(), random.Random(1))
+
+
 def build_limited_reply(limit, status=200):
     """Return a reply that names a limit: text, a number, or None for no limit."""
     text = limit if isinstance(limit, bytes) else str(limit).encode()
