--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -109,6 +109,7 @@
         replica.rate_limit_per_s = per_s
         if before_per_s is None:
             self._limited.add(replica)
+            self._lifted_at.pop(replica.id, None)
             # Requests that were sent just before count as well, so there is no burst.
             # Hosts that are told at the same time begin at different ones.
             interval_s = self._compute_interval_s(replica, now)
--- a/tests/test_gateway_demand.py
+++ b/tests/test_gateway_demand.py
@@ -261,3 +261,13 @@
     assert reporting.directory.get_own().lifted == {reporting.replica.id}
     reporting.run(rate_limits.LIFT_NEWS_S + 1.0)
     assert not reporting.limits.list_lifted(reporting.now)
+
+
+# Guards against news that a limit has ended, told on after the replica named one again.
+def test_limit_that_is_named_again_is_no_longer_told_as_ended():
+    reporting = Reporting()
+    reporting.name_limit()
+    reporting.name_limit(None)
+    assert reporting.limits.list_lifted(reporting.now)
+    reporting.name_limit()
+    assert not reporting.limits.list_lifted(reporting.now)
