--- a/benchmarks/gateways/records.py
+++ b/benchmarks/gateways/records.py
@@ -120,7 +120,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limited:
-    """A span in which a replica named a limit of requests a second."""
+    """A span in which a replica advertised a limit of requests a second."""
 
     replica: InstanceId
     per_s: float
--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -1,6 +1,6 @@
 """How the hosts divide the rate limit of a replica among each other.
 
-No host sees what the others send. While replicas name limits, each host therefore
+No host sees what the others send. While replicas advertise limits, each host therefore
 publishes in the platform's store how many requests a second it has for their services,
 under a lease, and all hosts learn of it with the watch that they have open anyway. A
 host's share of a limit is its part of the published demand, so the shares add up to one
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandReport:
-    """What a host tells the others while replicas name limits.
+    """What a host tells the others while replicas advertise limits.
 
     `requests_per_s` is its demand for each service with a limited replica. `lifted` are
     the replicas that it just saw without the limit they had.
--- a/corianderrill/gateway/demand_reporter.py
+++ b/corianderrill/gateway/demand_reporter.py
@@ -1,4 +1,4 @@
-"""Publishes this host's demand for services whose replicas name rate limits."""
+"""Publishes this host's demand for services whose replicas advertise rate limits."""
 
 import dataclasses
 import enum
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -167,11 +167,11 @@
 
 
 class RateLimitSeen(msgspec.Struct, tag="rate-limit", tag_field="event"):
-    """A replica named a rate limit, another one than before, or none any more.
+    """A replica advertised a rate limit, another one than before, or none any more.
 
     `per_s` is the limit for all hosts together, in requests a second; it is None if
-    the replica names none any more. `outcome` tells whether the limit was applied, or
-    lifted (here or by the report of another host), or was invalid.
+    the replica advertises none any more. `outcome` tells whether the limit was applied,
+    or lifted (here or by the report of another host), or was invalid.
     """
 
     replica: str
--- a/corianderrill/gateway/limit_plan.py
+++ b/corianderrill/gateway/limit_plan.py
@@ -1,4 +1,4 @@
-"""Which sub-requests of a query are sent while replicas name rate limits.
+"""Which sub-requests of a query are sent while replicas advertise rate limits.
 
 When all replicas of several shards are limited, sub-requests that are sent as they come
 would leave some queries whole and others with too few parts. So each query leaves out
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -1,10 +1,10 @@
-"""Rate limits that replicas name in their replies, and when they let a host send.
+"""Rate limits that replicas advertise in their replies, and when they let a host send.
 
-A replica in need names how many requests a second it accepts from all hosts together,
-for as long as its replies say so. A host spaces its requests to such a replica by its
-share of the limit (a generic cell rate algorithm). A request that finds no share left
-goes elsewhere or is not sent; none waits, since those with the most time would then use
-up the share of those with the least.
+An overloaded replica advertises how many requests a second it accepts from all hosts
+together, for as long as its replies say so. A host spaces its requests to such a
+replica by its share of the limit (a generic cell rate algorithm). A request that finds
+no share left goes elsewhere or is not sent; none waits, since those with the most time
+would then use up the share of those with the least.
 """
 
 import dataclasses
@@ -62,7 +62,7 @@
         """
         match reply.rate_limit:
             case replies.RateLimit(requests_per_s):
-                replica.rate_limit_named_at = now
+                replica.rate_limit_seen_at = now
                 if requests_per_s != replica.rate_limit_per_s:
                     self._apply(replica, requests_per_s, now)
             case replies.InvalidRateLimit(text):
@@ -85,13 +85,13 @@
     ) -> None:
         """Apply the report of a host, or its removal.
 
-        A limit that it saw lifted is lifted here as well, unless the replica named it
-        to this host so shortly before that it may name it again.
+        A limit that it saw lifted is lifted here as well, unless the replica advertised
+        it to this host so shortly before that the news may be older.
         """
         if not self.directory.apply(host, report, revision, now) or report is None:
             return
         for replica in list(self._limited):
-            is_old = now - replica.rate_limit_named_at >= demand.SETTLING_TIME_S
+            is_old = now - replica.rate_limit_seen_at >= demand.SETTLING_TIME_S
             if is_old and replica.id in report.lifted:
                 self._lift(replica, NoticeOutcome.LIFTED_ELSEWHERE)
 
@@ -145,7 +145,7 @@
         )
 
     def has_any(self) -> bool:
-        """Return whether any replica names a limit."""
+        """Return whether any replica advertises a limit."""
         return bool(self._limited)
 
     def list_services(self, current: view.View) -> set[names.ServiceName]:
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -84,8 +84,8 @@
     Times are in seconds of this host's monotonic clock. `pending_attempts` maps each
     attempt without an outcome to its start. The weights are counts of outcomes that
     decay with time. `rate_limit_per_s` is how many requests a second the replica takes
-    from all hosts together, None without a limit; it was last named at
-    `rate_limit_named_at`, and this host has used its share of it up to `next_slot_at`.
+    from all hosts together, None without a limit; it was last seen at
+    `rate_limit_seen_at`, and this host has used its share of it up to `next_slot_at`.
     """
 
     registration: Registration
@@ -106,7 +106,7 @@
     connect_backoff_until: float = 0.0
     is_replaced: bool = False
     rate_limit_per_s: float | None = None
-    rate_limit_named_at: float = 0.0
+    rate_limit_seen_at: float = 0.0
     next_slot_at: float = 0.0
 
     @property
--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RateLimit:
-    """A rate limit that a replica names, for the requests of all hosts together."""
+    """A rate limit that a replica advertises, for all hosts together."""
 
     requests_per_s: float
 
@@ -43,7 +43,7 @@
 
     `signature` proves which replica sent the reply; `echoed_request_id` names the
     request that it answers. `not_executed` and `is_misdirected` say that the server
-    did not execute the request. `rate_limit` is None if the replica names none.
+    did not execute the request. `rate_limit` is None if the replica advertises none.
     """
 
     status: int
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -207,7 +207,7 @@
     32,
 )
 GATEWAY_RATE_LIMITS = _count(
-    "gateway_rate_limits", "Rate limits named by replicas.", ("outcome",), 4
+    "gateway_rate_limits", "Rate limits advertised by replicas.", ("outcome",), 4
 )
 GATEWAY_RATE_LIMITED_REPLICAS = _gauge(
     "gateway_rate_limited_replicas", "Replicas that name a rate limit."
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -24,7 +24,7 @@
 _NOT_EXECUTED_REPLY_HEADER = b"x-not-executed"
 _REQUEST_ID_REPLY_HEADER = b"x-request-id"
 _CONTENT_ENCODING_REPLY_HEADER = b"content-encoding"
-# The requests a second that a replica in need accepts from all hosts together.
+# The requests a second that an overloaded replica accepts from all hosts together.
 _RATE_LIMIT_REPLY_HEADER = b"server-limit"
 # Headers that are not forwarded; those listed in the Connection header are not either.
 # The gateway writes Content-Length itself.
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -317,7 +317,7 @@
     """A backend server that replies with its records, or else echoes the body.
 
     `delay_s` is the processing time of each request, `status` the status of replies.
-    `rate_limit` is the limit that replies name, in requests a second over all hosts.
+    `rate_limit` is the limit that replies advertise, in requests a second of all hosts.
     """
 
     _numbers = itertools.count(1)
--- a/tests/test_gateway_demand.py
+++ b/tests/test_gateway_demand.py
@@ -263,7 +263,7 @@
     assert not reporting.limits.list_lifted(reporting.now)
 
 
-# Guards against news that a limit has ended, told on after the replica named one again.
+# Guards against news that a limit has ended, told on after there is one again.
 def test_limit_that_is_named_again_is_no_longer_told_as_ended():
     reporting = Reporting()
     reporting.name_limit()
--- a/tests/test_gateway_limit_plan.py
+++ b/tests/test_gateway_limit_plan.py
@@ -1,4 +1,4 @@
-"""Which sub-requests a query sends while replicas name limits."""
+"""Which sub-requests a query sends while replicas advertise limits."""
 
 import collections
 import math
--- a/tests/test_gateway_limited_attempts.py
+++ b/tests/test_gateway_limited_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts of one request while replicas name limits, in virtual time.
+"""Attempts of one request while replicas advertise limits, in virtual time.
 
 Pattern: requests find no share of a limit left, are given up before they are sent, or
 find that other shards fail.
--- a/tests/test_gateway_limited_processes.py
+++ b/tests/test_gateway_limited_processes.py
@@ -1,7 +1,7 @@
 """Two gateway processes that share the limit of a replica.
 
-Pattern: a replica names a limit while the load of the hosts differs much, and a host
-ends.
+Pattern: a replica advertises a limit while the load of the hosts differs much, and a
+host ends.
 """
 
 import json
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -1,7 +1,7 @@
-"""Rate limits that replicas name in their replies.
+"""Rate limits that replicas advertise in their replies.
 
-Pattern: replicas in need name how many requests a second they take from all hosts
-together, change that number, name none any more, or send something else.
+Pattern: overloaded replicas advertise how many requests a second they take from all
+hosts together, change that number, leave it out again, or send something else.
 """
 
 import pytest
--- a/tests/test_gateway_shared_limits.py
+++ b/tests/test_gateway_shared_limits.py
@@ -1,7 +1,7 @@
 """Rate limits of replicas that several hosts share, in virtual time.
 
-Pattern: replicas in need name fewer requests a second than they get, while hosts with
-very different loads send to them. No host sees what the others send.
+Pattern: overloaded replicas advertise fewer requests a second than they get, while
+hosts with very different loads send to them. No host sees what the others send.
 """
 
 import pytest
@@ -27,7 +27,7 @@
 
 
 def run_fleet(limited, seed=1, per_s=(26.0, 26.0, 26.0), until_s=20.0, **fields):
-    """Run a fleet of nine hosts, or more, whose replicas `limited` name a limit."""
+    """Run a fleet of nine hosts, or more, with limits of the replicas `limited`."""
     fleet = virtual_fleets.Fleet(seed=seed, shards=4, min_coverage=0.75, **fields)
     limit(fleet.servers[limited])
     fleet.run(per_s, until_s)
@@ -39,8 +39,8 @@
     return [virtual_fleets.compute_excess(server) for server in limited]
 
 
-# Guards against hosts that each send what they like to a replica in need, so that it
-# gets more requests from all of them together than it named.
+# Guards against hosts that each send what they like to an overloaded replica, so that it
+# gets more requests from all of them together than it accepts.
 @pytest.mark.parametrize("seed", SEEDS)
 def test_replicas_get_no_more_than_their_limit_allows_from_all_hosts(seed):
     fleet = run_fleet(slice(0, 2), seed, per_s=(26.0, 26.0, 40.0))
