--- a/tests/test_gateway_shared_limits.py
+++ b/tests/test_gateway_shared_limits.py
@@ -39,8 +39,8 @@
     return [virtual_fleets.compute_excess(server) for server in limited]
 
 
-# Guards against hosts that each send what they like to an overloaded replica, so that it
-# gets more requests from all of them together than it accepts.
+# Guards against hosts that each send what they like to an overloaded replica, so that
+# it gets more requests from all of them together than it accepts.
 @pytest.mark.parametrize("seed", SEEDS)
 def test_replicas_get_no_more_than_their_limit_allows_from_all_hosts(seed):
     fleet = run_fleet(slice(0, 2), seed, per_s=(26.0, 26.0, 40.0))
