--- a/tests/test_gateway_shared_limits.py
+++ b/tests/test_gateway_shared_limits.py
@@ -21,6 +21,10 @@
 MIN_TROUBLE_ON_TIME_SHARE = 0.76
 
 
+# For each zone, in requests a second.
+LOAD_PER_S = (26.0, 26.0, 26.0)
+
+
 def limit(servers, per_s=LIMIT_PER_S):
     for server in servers:
         server.limits = [(LIMITS_FROM_S, 100.0, per_s)]
@@ -144,3 +148,80 @@
     ended = fleet.list_ended(since_s=LIMITS_END_S + NOTICED_WITHIN_S)
     refused = [e for e in ended if e.outcome is coordinator.RequestOutcome.NOT_EXECUTED]
     assert not refused
+
+
+def build_fleet(limited=slice(0, 3), **fields):
+    fleet = virtual_fleets.Fleet(shards=4, min_coverage=0.75, **fields)
+    limit(fleet.servers[limited])
+    return fleet
+
+
+def test_hosts_that_begin_to_send_late_keep_to_the_limit_with_the_others():
+    fleet = build_fleet()
+    for number, site in enumerate(fleet.sites):
+        site.schedule(9.0, 2.0 * number, 30.0)
+    fleet.loop.run_until(32.0)
+    assert max(compute_excesses(fleet)) <= 0
+
+
+@pytest.mark.parametrize("down_s", [0.5, 8.0])
+def test_limits_hold_while_hosts_are_killed_and_start_again(down_s):
+    fleet = build_fleet()
+    fleet.load(LOAD_PER_S, 10.0)
+    for killed in fleet.sites[:3]:
+        fleet.kill(killed)
+    fleet.load(LOAD_PER_S, 10.0 + down_s)
+    for number in range(3):
+        fleet.add_host("zone-a", f"zone-a-{number}")
+    fleet.run(until_s=34.0)
+    assert max(compute_excesses(fleet)) <= 0
+
+
+@pytest.mark.parametrize("frozen_s", [3.0, 9.0])
+def test_limits_hold_when_hosts_that_were_frozen_go_on(frozen_s):
+    """The others divide the share of a host whose lease has run out meanwhile."""
+    fleet = build_fleet()
+    for site in fleet.sites[3:6]:
+        fleet.freeze(site, 10.0, 10.0 + frozen_s)
+    fleet.run(until_s=30.0)
+    assert max(compute_excesses(fleet)) <= 0
+
+
+@pytest.mark.parametrize("count", [1, 4])
+def test_limits_hold_while_hosts_are_cut_off_from_the_store(count):
+    fleet = build_fleet()
+    for site in fleet.sites[:count]:
+        fleet.store.cuts[site.host] = [(8.0, 20.0)]
+    fleet.run(until_s=30.0)
+    assert max(compute_excesses(fleet)) <= 0
+
+
+def test_limits_hold_while_hosts_are_added():
+    fleet = build_fleet()
+    fleet.load(LOAD_PER_S, 10.0)
+    for number in range(6):
+        fleet.add_host("zone-b", f"new-{number}")
+    fleet.run(until_s=30.0)
+    assert max(compute_excesses(fleet)) <= 0
+
+
+@pytest.mark.parametrize("host_count", [3.0, 40.0])
+@pytest.mark.parametrize("outages", [[], [(6.0, 20.0)]])
+def test_limits_hold_when_hosts_misjudge_how_many_they_are(host_count, outages):
+    fleet = build_fleet(host_count=host_count)
+    fleet.store.outages = outages
+    fleet.run(until_s=30.0)
+    assert max(compute_excesses(fleet)) <= 0
+
+
+def test_share_of_idle_hosts_serves_the_callers_of_busy_ones():
+    fleet = build_fleet(slice(0, 12), host_count=9.0)
+    busy = fleet.sites[4]
+    for site in fleet.sites:
+        site.schedule(30.0 if site is busy else 0.2, 0.0, 30.0)
+    fleet.loop.run_until(32.0)
+    assert max(compute_excesses(fleet)) <= 0
+    # Its demand is less than the limits of the replicas of a shard together.
+    ended = [e for e in busy.ended if e.at_s >= LIMITS_FROM_S + NOTICED_WITHIN_S]
+    served = [e for e in ended if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    assert len(served) / len(ended) > 0.9
--- a/tests/utils/virtual_fleets.py
+++ b/tests/utils/virtual_fleets.py
@@ -24,53 +24,55 @@
 WATCH_DELAY_S = (0.01, 1.2)
 
 
+def is_within(at, windows):
+    return any(start <= at < end for start, end in windows)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class VirtualStore:
     """The platform's store, for demand reports; hosts read each write a bit later.
 
-    In an outage (from, until) calls fail. Leases run out meanwhile.
+    In an outage (from, until) all calls fail, and in one of `cuts`, by host, those of
+    that host. Leases run out meanwhile, and what was written is read afterwards.
     """
 
     loop: virtual_servers.VirtualLoop
     rng: random.Random
     sites: list
     outages: list = dataclasses.field(default_factory=list)
+    cuts: dict = dataclasses.field(default_factory=dict)
     writes: int = 0
     _revision: int = 1
+    _items: dict = dataclasses.field(default_factory=dict)
     _keys_by_lease: dict = dataclasses.field(default_factory=dict)
     _ends: dict = dataclasses.field(default_factory=dict)
     _numbers: object = dataclasses.field(default_factory=lambda: itertools.count(1))
 
+    def list_absences(self, host):
+        return [*self.outages, *self.cuts.get(host, [])]
+
     def grant_lease(self, ttl_s):
-        self._fail_if_away()
         lease = store.LeaseId(next(self._numbers))
         self._keys_by_lease[lease] = set()
         self._start_lease(lease, ttl_s)
         return lease
 
     def keep_lease(self, lease):
-        self._fail_if_away()
         if lease not in self._keys_by_lease:
             return False
         self._start_lease(lease, demand_reporter.LEASE_TTL_S)
         return True
 
     def end_lease(self, lease):
-        self._fail_if_away()
         self._expire(lease, self._ends.get(lease))
 
     def write_key(self, key, value, lease):
-        self._fail_if_away()
         if lease not in self._keys_by_lease:
             return None
         self.writes += 1
         self._keys_by_lease[lease].add(key)
         return self._change(key, documents.decode_demand(key, value))
 
-    def _fail_if_away(self):
-        if any(start <= self.loop.now() < end for start, end in self.outages):
-            raise store.StoreError(store.FailureKind.UNREACHABLE, "away")
-
     def _start_lease(self, lease, ttl_s):
         end = self._ends[lease] = self.loop.now() + ttl_s
         self.loop.call_later(ttl_s, self._expire, lease, end)
@@ -83,55 +85,91 @@
 
     def _change(self, key, report):
         self._revision += 1
+        self._items[key] = (report, self._revision)
         for site in self.sites:
-            delay_s = self.rng.uniform(*WATCH_DELAY_S)
-            ends = [
-                end
-                for start, end in self.outages
-                if self.loop.now() + delay_s < end
-                and start <= self.loop.now() + delay_s
-            ]
-            at = max([self.loop.now() + delay_s, *ends])
-            self.loop.call_later(
-                at - self.loop.now(), self._deliver, site, key, report, self._revision
-            )
+            self._send(site, key, report, self._revision)
         return self._revision
 
+    def _send(self, site, key, report, revision):
+        at = self.loop.now() + self.rng.uniform(*WATCH_DELAY_S)
+        absences = self.list_absences(site.host)
+        at = max([at, *(end for start, end in absences if start <= at < end)])
+        self.loop.call_later(
+            at - self.loop.now(), self._deliver, site, key, report, revision
+        )
+
     def _deliver(self, site, key, report, revision):
         host = documents.parse_demand_key(key)
         limits = site.tools.rate_limits
         limits.apply_report(host, report, revision, self.loop.now())
 
+    def read_all(self, site):
+        """Let a host that starts read all reports."""
+        for key, (report, revision) in self._items.items():
+            self._deliver(site, key, report, revision)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VirtualClient:
+    """The calls of one host to the store."""
+
+    store: VirtualStore
+    host: str
+
+    def __getattr__(self, name):
+        if is_within(self.store.loop.now(), self.store.list_absences(self.host)):
+            raise store.StoreError(store.FailureKind.UNREACHABLE, "away")
+        return getattr(self.store, name)
+
 
 class Fleet:
-    """Hosts in three zones; `hosts` and `per_s` are for each zone."""
+    """Hosts in three zones; `hosts` and `per_s` are for each zone.
+
+    `host_count` is how many hosts they believe that there are.
+    """
 
-    def __init__(self, hosts=(4, 2, 3), seed=1, **site):
+    def __init__(self, hosts=(4, 2, 3), seed=1, host_count=None, **site):
         self.sites = []
-        self.reporters = []
+        self.servers = None
         self.loop = virtual_servers.VirtualLoop()
         self.store = VirtualStore(self.loop, random.Random(seed), self.sites)
-        servers = None
+        self._seed = 100 * seed
+        self._site_options = site
+        self._host_count = host_count or sum(hosts)
         for zone, count in zip(virtual_servers.ZONES, hosts, strict=True):
             for number in range(count):
-                added = virtual_servers.Site(
-                    seed=100 * seed + len(self.sites),
-                    zone=zone,
-                    host=f"{zone}-{number}",
-                    loop=self.loop,
-                    servers=servers,
-                    **site,
-                )
-                servers = added.servers
-                self.sites.append(added)
-        self.servers = servers
-        for member in self.sites:
-            member.demand.host_count = len(self.sites)
-            self._start_reporter(member)
-
-    def _start_reporter(self, site):
-        reporter = demand_reporter.DemandReporter(
-            self.store,
+                self.add_host(zone, f"{zone}-{number}")
+
+    def add_host(self, zone, host):
+        """Start a host that knows nothing but what is in the store; return it."""
+        self._seed += 1
+        site = virtual_servers.Site(
+            seed=self._seed,
+            zone=zone,
+            host=host,
+            loop=self.loop,
+            servers=self.servers,
+            **self._site_options,
+        )
+        site.demand.host_count = self._host_count
+        self.servers = site.servers
+        self.sites.append(site)
+        self.store.read_all(site)
+        self._step(self._build_reporter(site), site)
+        return site
+
+    def kill(self, site):
+        """Stop a host at once; its lease runs out."""
+        self.sites.remove(site)
+
+    def freeze(self, site, since, until):
+        """Stop a host between two times; it goes on with what it had then."""
+        self.store.cuts.setdefault(site.host, []).append((since, until))
+        site.frozen.append((since, until))
+
+    def _build_reporter(self, site):
+        return demand_reporter.DemandReporter(
+            VirtualClient(self.store, site.host),
             site.tools.view,
             site.tools.rate_limits,
             site.tools.request_rates,
@@ -140,23 +178,31 @@
             site.rng,
             self.loop.now,
         )
-        self.reporters.append(reporter)
-        self._step(reporter, site.rng)
 
-    def _step(self, reporter, rng):
-        delay_s = reporter.step() * (0.5 + rng.random())
-        self.loop.call_later(delay_s, self._step, reporter, rng)
+    def _step(self, reporter, site):
+        if site not in self.sites:
+            return
+        now = self.loop.now()
+        ends = [end for start, end in site.frozen if start <= now < end]
+        delay_s = max(ends) - now if ends else reporter.step()
+        delay_s *= 1.0 if ends else 0.5 + site.rng.random()
+        self.loop.call_later(delay_s, self._step, reporter, site)
 
     def run(self, per_s=(26.0, 26.0, 26.0), until_s=20.0):
         """Send requests to all hosts of a zone alike, then let all of them end."""
+        self.load(per_s, until_s)
+        self.loop.run_until(until_s + 2.0)
+
+    def load(self, per_s, until_s):
+        """Send requests to all hosts of a zone alike from now until a time."""
         for zone, zone_per_s in zip(virtual_servers.ZONES, per_s, strict=True):
             members = [site for site in self.sites if site.tools.zone == zone]
             for site in members:
-                site.schedule(zone_per_s / len(members), 0.0, until_s)
-        self.loop.run_until(until_s + 2.0)
+                site.schedule(zone_per_s / len(members), self.loop.now(), until_s)
+        self.loop.run_until(until_s)
 
     def list_ended(self, since_s=0.0):
-        """Return how the requests ended that were sent since a time."""
+        """Return how the requests ended that were sent since a time, by all hosts."""
         return [e for site in self.sites for e in site.ended if e.at_s >= since_s]
 
 
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -314,6 +314,7 @@
     ):
         self.mode = mode
         self.host = host
+        self.frozen = []
         self.loop = loop or VirtualLoop()
         self.rng = random.Random(seed)
         services = tuple(names.ServiceName(f"shard-{n}") for n in range(shards))
@@ -420,7 +421,8 @@
     def schedule(self, per_s, at, until_s):
         """Send requests at random times between two times, once the loop runs."""
         while (at := at + self.rng.expovariate(per_s)) < until_s:
-            self.loop.call_later(at, self.ask)
+            ends = [end for start, end in self.frozen if start <= at < end]
+            self.loop.call_later(max([at, *ends]) - self.loop.now(), self.ask)
 
     def compute_on_time_share(self, since_s=0.0):
         """Return the share of requests with a success within the goal."""
