--- a/tests/test_gateway_shared_limits.py
+++ b/tests/test_gateway_shared_limits.py
@@ -225,3 +225,10 @@
     ended = [e for e in busy.ended if e.at_s >= LIMITS_FROM_S + NOTICED_WITHIN_S]
     served = [e for e in ended if e.outcome is coordinator.RequestOutcome.COMPLETE]
     assert len(served) / len(ended) > 0.9
+
+
+def test_limits_hold_without_a_store_when_hosts_take_themselves_for_a_third():
+    fleet = build_fleet(host_count=3.0)
+    fleet.store.outages = [(2.9, 20.0)]
+    fleet.run(until_s=24.0)
+    assert max(compute_excesses(fleet)) <= 0
