--- a/corianderrill/gateway/demand_reporter.py
+++ b/corianderrill/gateway/demand_reporter.py
@@ -30,7 +30,7 @@
 # than the rate below if that is more.
 MIN_CHANGE_FACTOR = 1.4
 MIN_CHANGE_PER_S = 0.5
-# Replicas may name limits again soon after the last one was lifted.
+# Replicas may advertise limits again soon after the last one was lifted.
 LINGER_S = 5.0
 RETRY_DELAY_S = 1.0
 
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -106,10 +106,7 @@
 
 def decode_configuration(value: bytes) -> routes.Configuration:
     """Decode a configuration. Raise DocumentError if any part of it is invalid."""
-    try:
-        document = _CONFIGURATION_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise DocumentError(str(error)) from error
+    document = _decode(_CONFIGURATION_DECODER, value)
     limits = document.limits
     return routes.build_configuration(
         routes.ConfigurationVersion(document.version),
@@ -193,15 +190,8 @@
 
 def decode_aggregator(key: str, value: bytes) -> aggregators.Aggregator:
     """Decode the holder of a slot. Raise DocumentError if it is invalid."""
-    try:
-        document = _AGGREGATOR_DECODER.decode(value)
-        address = settings.parse_address(document.address)
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        settings.SettingsError,
-    ) as error:
-        raise DocumentError(str(error)) from error
+    document = _decode(_AGGREGATOR_DECODER, value)
+    address = _parse_address(document.address)
     return aggregators.Aggregator(
         parse_aggregator_key(key),
         names.HostName(document.host),
@@ -229,10 +219,7 @@
 
 def decode_demand(key: str, value: bytes) -> demand.DemandReport:
     """Decode a demand report. Raise DocumentError if it is invalid."""
-    try:
-        document = _DEMAND_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise DocumentError(str(error)) from error
+    document = _decode(_DEMAND_DECODER, value)
     if any(per_s < 0 for per_s in document.requests_per_s.values()):
         raise DocumentError("requests_per_s: a rate is negative")
     return demand.DemandReport(
@@ -253,15 +240,8 @@
 
 def decode_registration(key: str, value: bytes) -> replicas.Registration:
     """Decode the entry of a replica. Raise DocumentError if it is invalid."""
-    try:
-        document = _SERVER_DECODER.decode(value)
-        address = settings.parse_address(document.address)
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        settings.SettingsError,
-    ) as error:
-        raise DocumentError(str(error)) from error
+    document = _decode(_SERVER_DECODER, value)
+    address = _parse_address(document.address)
     if document.capacity < 1:
         raise DocumentError(f"capacity: {document.capacity} is less than one")
     return replicas.Registration(
@@ -274,3 +254,17 @@
         warmup_s=max(0.0, document.warmup_left_ms) / 1000,
         started_at_ms=document.born,
     )
+
+
+def _decode(decoder: msgspec.json.Decoder, value: bytes) -> msgspec.Struct:
+    try:
+        return decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise DocumentError(str(error)) from error
+
+
+def _parse_address(text: str) -> names.Address:
+    try:
+        return settings.parse_address(text)
+    except settings.SettingsError as error:
+        raise DocumentError(str(error)) from error
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -204,13 +204,8 @@
 
         After a StoreError it may have been written. It then goes with its lease.
         """
-        document = {
-            "expected_rev": [{"key": key, "revision": 0}],
-            "writes": [
-                {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
-            ],
-            "deletes": [],
-        }
+        document = _build_write(key, value, lease)
+        document["expected_rev"] = [{"key": key, "revision": 0}]
         return self._call("POST", "/api/kv-txn", document, (404, 412)) is not None
 
     def write_key(
@@ -220,13 +215,7 @@
 
         After a StoreError it may have been written.
         """
-        document = {
-            "expected_rev": [],
-            "writes": [
-                {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
-            ],
-            "deletes": [],
-        }
+        document = _build_write(key, value, lease)
         body = self._call("POST", "/api/kv-txn", document, (404,))
         if body is None:
             return None
@@ -350,6 +339,16 @@
     )
 
 
+def _build_write(key: Key, value: bytes, lease: LeaseId) -> dict[str, object]:
+    """Return the transaction that writes one key, whatever it held before."""
+    text = base64.b64encode(value).decode()
+    return {
+        "expected_rev": [],
+        "writes": [{"key": key, "value": text, "lease": lease}],
+        "deletes": [],
+    }
+
+
 def _encode_item(item: Item) -> dict[str, object]:
     if item.value is None:
         return {"key": item.key, "revision": item.revision, "deleted": True}
