--- a/corianderrill/gateway/demand_reporter.py
+++ b/corianderrill/gateway/demand_reporter.py
@@ -58,6 +58,8 @@
     rng: random.Random
     clock: Callable[[], float] = loop.read_clock
     _lease: store.LeaseId | None = None
+    # Whether the report was written under this lease.
+    _is_written: bool = False
     _needed_at: float | None = None
     _write_at: float = 0.0
     _renewed_at: float = 0.0
@@ -101,7 +103,7 @@
 
     def _is_outdated(self, current: demand.DemandReport) -> bool:
         own = self.limits.directory.get_own()
-        if self._lease is None or own is None:
+        if not self._is_written or own is None:
             return True
         return not current.lifted <= own.lifted or any(
             service not in own.requests_per_s
@@ -113,7 +115,7 @@
         directory = self.limits.directory
         if self._lease is None:
             self._lease = self.client.grant_lease(LEASE_TTL_S)
-            self._extend(now)
+            self._renewed_at = now
         revision = self.client.write_key(
             documents.format_demand_key(directory.own_host),
             documents.encode_demand(report),
@@ -122,6 +124,8 @@
         if revision is None:
             self._drop("the lease has ended")
             return
+        self._is_written = True
+        self._extend(self._renewed_at)
         done_at = self.clock()
         interval_s = max(MIN_WRITE_INTERVAL_S, self._compute_spread_s())
         self._write_at = done_at + interval_s
@@ -154,6 +158,7 @@
     def _drop(self, reason: str) -> None:
         self._lease = None
         self.limits.directory.lease_until = self.clock()
+        self._is_written = False
         self._record(ReportOutcome.LOST, 0.0, reason)
 
     def _withdraw_if_unused(self, now: float) -> None:
@@ -165,6 +170,7 @@
     def withdraw(self) -> None:
         """Remove the report, since it is no longer needed or the host shuts down."""
         lease, self._lease = self._lease, None
+        self._is_written = False
         if lease is None:
             return
         self.limits.directory.lease_until = self.clock()
--- a/tests/test_gateway_demand.py
+++ b/tests/test_gateway_demand.py
@@ -18,7 +18,7 @@
     replicas,
     request_rates,
 )
-from corianderrill.platform import documents
+from corianderrill.platform import documents, store
 from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
@@ -271,3 +271,27 @@
     assert reporting.limits.list_lifted(reporting.now)
     reporting.name_limit()
     assert not reporting.limits.list_lifted(reporting.now)
+
+
+# Guards against a host that holds a new lease and takes its former share, though its
+# report is no longer in the store.
+def test_report_is_written_again_after_its_lease_was_lost_and_a_write_failed():
+    reporting = Reporting()
+    reporting.directory.host_count = HOST_COUNT
+    reporting.run(8, per_s=20)
+    reporting.name_limit()
+    reporting.run(8, per_s=20)
+    reporting.client.leases.clear()
+    reporting.client.keys.clear()
+    write_key = reporting.client.write_key
+    reporting.client.write_key = fail_call
+    reporting.run(4, per_s=20)
+    assert reporting.client.leases
+    assert compute_shares([reporting.directory], now=reporting.now)[0] < 1.0
+    reporting.client.write_key = write_key
+    reporting.run(2, per_s=20)
+    assert reporting.client.keys
+
+
+def fail_call(*arguments):
+    raise store.StoreError(store.FailureKind.UNREACHABLE, "the reply was lost")
