--- a/corianderrill/gateway/retry_budget.py
+++ b/corianderrill/gateway/retry_budget.py
@@ -12,11 +12,11 @@
 not in the first window, in which the slot's last holder may have spent it.
 """
 
-import collections
 import dataclasses
 import math
 
 from corianderrill import names
+from corianderrill.gateway import sliding_counter
 
 WINDOW_S = 10.0
 BUCKET_S = 1.0
@@ -37,15 +37,8 @@
 MAX_STARTUP_SLACK = 0.25
 
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    started_at: float
-    requests: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    extra_attempts: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
+def _build_counter() -> sliding_counter.SlidingCounter:
+    return sliding_counter.SlidingCounter(WINDOW_S + BUCKET_S, BUCKET_S)
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,14 +57,11 @@
     _slot_from: float = math.inf
     _slot_until: float = -math.inf
     denied_count: int = 0
-    _buckets: collections.deque[_Bucket] = dataclasses.field(
-        default_factory=collections.deque
-    )
-    _requests: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
+    _requests: sliding_counter.SlidingCounter = dataclasses.field(
+        default_factory=_build_counter
     )
-    _extra_attempts: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
+    _extra_attempts: sliding_counter.SlidingCounter = dataclasses.field(
+        default_factory=_build_counter
     )
 
     def apply_bounds(
@@ -105,40 +95,28 @@
         self, services: tuple[names.ServiceName, ...], now: float
     ) -> None:
         """Record one request to each of these services."""
-        self._advance(now)
-        self._requests.update(services)
-        self._buckets[-1].requests.update(services)
+        self._requests.add(services, now)
+        # The buckets of both counters begin and expire at the same times.
+        self._extra_attempts.advance(now)
 
     def try_spend(self, service: names.ServiceName, now: float) -> bool:
         """Spend one extra attempt; return False if the budget is exhausted."""
         if not self.can_spend(service, now):
             self.denied_count += 1
             return False
-        self._extra_attempts[service] += 1
-        self._buckets[-1].extra_attempts[service] += 1
+        self._extra_attempts.add((service,), now)
         return True
 
     def can_spend(self, service: names.ServiceName, now: float) -> bool:
         """Return whether the budget allows one more extra attempt."""
-        self._advance(now)
         host_slack = self.host_slack
         if now - self.started_at < WINDOW_S:
             host_slack = min(host_slack, MAX_STARTUP_SLACK)
         if self._slot_from <= now < self._slot_until:
             host_slack += self.slot_slack
-        max_extra_attempts = self.ratio * self._requests[service] + host_slack
-        return self._extra_attempts[service] + 1 <= max_extra_attempts
-
-    def _advance(self, now: float) -> None:
-        """Drop the buckets that have left the window; a bucket expires as a whole."""
-        while (
-            self._buckets and now - self._buckets[0].started_at >= WINDOW_S + BUCKET_S
-        ):
-            expired = self._buckets.popleft()
-            self._requests.subtract(expired.requests)
-            self._extra_attempts.subtract(expired.extra_attempts)
-        if not self._buckets or now - self._buckets[-1].started_at >= BUCKET_S:
-            self._buckets.append(_Bucket(now))
+        request_count = self._requests.count(service, now)
+        max_extra_attempts = self.ratio * request_count + host_slack
+        return self._extra_attempts.count(service, now) + 1 <= max_extra_attempts
 
 
 def estimate_host_count(retry_slack: float) -> float:
