Log the era of the store beside each revision

Change: the client decodes Store-Era of each reply; the lines name the era, a line tells when it rises, two gauges show the era and revision of a host. The stand-in of the store can be restored from a copy. No decision changed.

--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -3,7 +3,8 @@
 Lines are buffered and written without blocking. Lines are dropped when a kind of
 record exceeds its rate limit or the buffer is full; the next line that is written
 holds the number of dropped lines. The names of the records and of their fields, and
-the tags, are part of the log format.
+the tags, are part of the log format. A store revision has a meaning only beside the era
+that the record names with it.
 """
 
 import collections
@@ -67,6 +68,7 @@
     error: str
     revision: int
     silent_ms: float = 0.0
+    era: int = 0
 
 
 class StoreReturned(msgspec.Struct, tag="store-returned", tag_field="event"):
@@ -74,12 +76,25 @@
 
     away_ms: float
     revision: int
+    era: int = 0
 
 
 class HistoryLost(msgspec.Struct, tag="store-history-lost", tag_field="event"):
     """The store has compacted the changes since `revision`; all keys are read again."""
 
     revision: int
+    era: int = 0
+
+
+class StoreRestored(msgspec.Struct, tag="store-restored", tag_field="event"):
+    """A reply of the store names a later era: it has come back from an older copy.
+
+    `revision` is the one that the host had reached in the era `before`.
+    """
+
+    era: int
+    before: int
+    revision: int
 
 
 class ConfigurationSeen(msgspec.Struct, tag="configuration", tag_field="event"):
@@ -89,6 +104,7 @@
     revision: int
     before: int | None
     outcome: str
+    era: int = 0
 
 
 class ReplicaSeen(msgspec.Struct, tag="replica", tag_field="event"):
@@ -102,6 +118,7 @@
     state: str
     revision: int
     outcome: str
+    era: int = 0
 
 
 class RelayLost(msgspec.Struct, tag="relay-lost", tag_field="event"):
@@ -110,6 +127,7 @@
     aggregator: str
     error: str
     revision: int
+    era: int = 0
 
 
 class AggregatorSeen(msgspec.Struct, tag="aggregator", tag_field="event"):
@@ -119,6 +137,7 @@
     slot: int
     holder: str
     revision: int
+    era: int = 0
 
 
 class AggregatorRoleChanged(msgspec.Struct, tag="aggregator-role", tag_field="event"):
@@ -199,6 +218,7 @@
     key: str
     revision: int
     reason: str
+    era: int = 0
 
 
 class AttemptSummary(msgspec.Struct, omit_defaults=True):
@@ -304,6 +324,7 @@
     | StoreLost
     | StoreReturned
     | HistoryLost
+    | StoreRestored
     | ConfigurationSeen
     | ReplicaSeen
     | RelayLost
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -22,6 +22,8 @@
     limited_count = len(shared.view.list_rate_limited())
     meter.set(metrics.GATEWAY_RATE_LIMITED_REPLICAS, limited_count)
     meter.set(metrics.GATEWAY_STORE_CALLS, watcher.client.call_count)
+    meter.set(metrics.GATEWAY_STORE_ERA, watcher.era)
+    meter.set(metrics.GATEWAY_STORE_REVISION, watcher.revision)
     now = loop.read_clock()
     silent_s = now - watcher.last_reply_at
     meter.set(metrics.GATEWAY_STORE_SILENT, round(silent_s, 3))
--- a/corianderrill/gateway/store_probe.py
+++ b/corianderrill/gateway/store_probe.py
@@ -84,7 +84,7 @@
         if watching_since is None:
             return
         try:
-            revision = watcher.watched_client.probe_revision()
+            revision = watcher.watched_client.probe_revision().revision
         except store.StoreError as error:
             if watcher.watching_since == watching_since:
                 watcher.interrupt(error)
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -51,9 +51,10 @@
 class StoreWatcher:
     """Keeps the view of one host current with the store.
 
-    `revision` is the revision up to which changes are applied. `outage_started_at`,
-    `last_reply_at` and `watching_since` are times of `clock`; the first is the time of
-    the last reply before the outage, the last is None unless a watch is open.
+    `revision` is the revision, in `era`, up to which changes are applied.
+    `outage_started_at`, `last_reply_at` and `watching_since` are times of `clock`; the
+    first is the time of the last reply before the outage, the last is None unless a
+    watch is open.
     `watched_client` is the client that the open watch, or the last one, was sent with.
     """
 
@@ -70,6 +71,7 @@
     min_batch_delay_s: float = 0.5
     clock: Callable[[], float] = loop.read_clock
     revision: view.StoreRevision = view.StoreRevision(0)
+    era: view.StoreEra = view.StoreEra(0)
     outage_started_at: float | None = None
     last_reply_at: float = 0.0
     watching_since: float | None = None
@@ -123,6 +125,7 @@
         allow_stale = not self.revision
         batch = self.client.read_range(ALL_KEYS_PREFIX, None, allow_stale)
         self._record_success(is_current=not allow_stale)
+        self._record_era(batch.era)
         oldest_revision = batch.revision
         items = list(batch.items)
         while batch.has_more and batch.items:
@@ -160,7 +163,9 @@
             batch = self._wait_for_changes(self._get_relay_client(relay), WATCH_WAIT_S)
         except store.StoreError as error:
             self.aggregators.record_relay_failure(relay, self.clock())
-            self.log.record(event_log.RelayLost(relay.host, str(error), self.revision))
+            self.log.record(
+                event_log.RelayLost(relay.host, str(error), self.revision, self.era)
+            )
             return
         self._apply_batch(batch)
 
@@ -187,6 +192,7 @@
 
     def _apply_batch(self, batch: store.Batch) -> None:
         self._record_success(is_current=True)
+        self._record_era(batch.era)
         now = self.clock()
         self.view.distrust_removals(now + batch.removals_untrusted_s)
         self._apply_items(batch.items, now)
@@ -243,19 +249,26 @@
         self.outage_started_at = None
         if outage_s >= MIN_LAPSE_OUTAGE_S:
             self.view.record_store_recovery(now)
-        self.log.record(event_log.StoreReturned(round(1000 * outage_s), self.revision))
+        self.log.record(
+            event_log.StoreReturned(round(1000 * outage_s), self.revision, self.era)
+        )
+
+    def _record_era(self, era: view.StoreEra) -> None:
+        if self.era and era > self.era:
+            self.log.record(event_log.StoreRestored(era, self.era, self.revision))
+        self.era = max(self.era, era)
 
     def _handle_failure(self, error: store.StoreError) -> None:
         now = self.clock()
         if error.kind is store.FailureKind.HISTORY_LOST:
-            self.log.record(event_log.HistoryLost(self.revision))
+            self.log.record(event_log.HistoryLost(self.revision, self.era))
             return
         if self.outage_started_at is None:
             self.outage_started_at = self.last_reply_at
             silent_ms = round(1000 * (now - self.last_reply_at))
             self.log.record(
                 event_log.StoreLost(
-                    error.kind.value, str(error), self.revision, silent_ms
+                    error.kind.value, str(error), self.revision, silent_ms, self.era
                 )
             )
         backoff_s = min(BACKOFF_BASE_S * 2**self._consecutive_failures, BACKOFF_MAX_S)
@@ -304,6 +317,7 @@
                     key.slot,
                     "" if holder is None else holder.host,
                     item.revision,
+                    self.era,
                 )
             )
 
@@ -326,6 +340,7 @@
                 revision=item.revision,
                 before=None if before is None else before.version,
                 outcome=outcome.value,
+                era=self.era,
             )
         )
 
@@ -348,6 +363,7 @@
                 state=registration.state.value,
                 revision=item.revision,
                 outcome=outcome.value,
+                era=self.era,
             )
         )
 
@@ -359,11 +375,15 @@
     ) -> None:
         outcome = self.view.apply_removal(replica_id, revision, now)
         self.log.record(
-            event_log.ReplicaSeen(replica_id, "", "removed", revision, outcome.value)
+            event_log.ReplicaSeen(
+                replica_id, "", "removed", revision, outcome.value, self.era
+            )
         )
 
     def _record_skipped_item(self, item: store.Item, reason: str) -> None:
-        self.log.record(event_log.EntrySkipped(item.key, item.revision, reason[:300]))
+        self.log.record(
+            event_log.EntrySkipped(item.key, item.revision, reason[:300], self.era)
+        )
 
     def _retain_pools(self) -> None:
         self.pools.retain(self.view.list_addresses())
@@ -372,5 +392,7 @@
         """Drop the replicas whose fallback time has expired."""
         for replica_id in self.view.drop_expired(self.clock()):
             self.log.record(
-                event_log.ReplicaSeen(replica_id, "", "gone", self.revision, "dropped")
+                event_log.ReplicaSeen(
+                    replica_id, "", "gone", self.revision, "dropped", self.era
+                )
             )
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -15,6 +15,9 @@
 from corianderrill.gateway import replicas, routes
 
 StoreRevision = NewType("StoreRevision", int)
+# Rises whenever the store comes back from an older copy. Revisions and leases have a
+# meaning only within one era.
+StoreEra = NewType("StoreEra", int)
 
 # Registrations that lapsed in a store outage are written again within two seconds of
 # the end of the outage.
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -219,6 +219,12 @@
 GATEWAY_CONNECTIONS = _gauge(
     "gateway_connections_opened", "Connections opened to addresses in use."
 )
+GATEWAY_STORE_ERA = _gauge(
+    "gateway_store_era", "Era of the platform's store that this host has reached."
+)
+GATEWAY_STORE_REVISION = _gauge(
+    "gateway_store_revision", "Revision in that era up to which changes are applied."
+)
 GATEWAY_STORE_CALLS = _gauge("gateway_store_calls", "Calls to the platform's store.")
 GATEWAY_STORE_SILENT = _gauge(
     "gateway_store_silent", "Time since the store answered.", unit="seconds"
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -35,6 +35,8 @@
 KEEPALIVE_PROBES = 2
 # No key begins with it, so a range read of it returns only the store's revision.
 EMPTY_PREFIX = "~"
+# In all replies of the store, and in those of an aggregator in its place.
+ERA_HEADER = "Store-Era"
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
 
@@ -83,15 +85,24 @@
     """The items of a range read, or the changes of a watch, up to `revision`.
 
     For `removals_untrusted_s` more, removals may be the effect of a store outage that
-    another host has noticed.
+    another host has noticed. `era` is the one of the revisions.
     """
 
     items: tuple[Item, ...]
     revision: view.StoreRevision
+    era: view.StoreEra = view.StoreEra(0)
     has_more: bool = False
     removals_untrusted_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    """The body of a successful reply, and the era that it names."""
+
+    body: bytes
+    era: view.StoreEra
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeCall:
     """A call for the store's revision."""
@@ -167,20 +178,22 @@
             query["serializable"] = "1"
         if after is not None:
             query["after"] = after
-        body = self._get(RANGE_PATH, query, CALL_TIMEOUT_S)
-        reply = self._decode(_RANGE_DECODER, body)
-        items = tuple(map(_decode_item, reply.items))
-        return Batch(items, view.StoreRevision(reply.at), reply.has_more)
+        reply = self._get(RANGE_PATH, query, CALL_TIMEOUT_S)
+        page = self._decode(_RANGE_DECODER, reply.body)
+        items = tuple(map(_decode_item, page.items))
+        revision = view.StoreRevision(page.at)
+        return Batch(items, revision, reply.era, page.has_more)
 
-    def probe_revision(self) -> view.StoreRevision:
-        """Return the store's revision, which may be seconds old.
+    def probe_revision(self) -> Batch:
+        """Return the store's revision and era, which may be seconds old, and no items.
 
         The call shows whether the store answers, at a tenth of the cost of a current
         read.
         """
         query = {"prefix": EMPTY_PREFIX, "serializable": "1"}
-        body = self._get(RANGE_PATH, query, PROBE_TIMEOUT_S)
-        return view.StoreRevision(self._decode(_RANGE_DECODER, body).at)
+        reply = self._get(RANGE_PATH, query, PROBE_TIMEOUT_S)
+        page = self._decode(_RANGE_DECODER, reply.body)
+        return Batch((), view.StoreRevision(page.at), reply.era)
 
     def list_keys(self, prefix: str) -> set[Key]:
         """Return the keys with a prefix; the read may be seconds old."""
@@ -188,8 +201,8 @@
 
     def grant_lease(self, ttl_s: float) -> LeaseId:
         """Return a new lease that ends after `ttl_s` unless it is renewed."""
-        body = self._call("POST", "/api/kv-lease", {"ttl_ms": round(1000 * ttl_s)})
-        return LeaseId(self._decode(_LEASE_DECODER, body).lease)
+        reply = self._call("POST", "/api/kv-lease", {"ttl_ms": round(1000 * ttl_s)})
+        return LeaseId(self._decode(_LEASE_DECODER, reply.body).lease)
 
     def keep_lease(self, lease: LeaseId) -> bool:
         """Renew a lease; return False if it has ended."""
@@ -216,10 +229,11 @@
         After a StoreError it may have been written.
         """
         document = _build_write(key, value, lease)
-        body = self._call("POST", "/api/kv-txn", document, (404,))
-        if body is None:
+        reply = self._call("POST", "/api/kv-txn", document, (404,))
+        if reply is None:
             return None
-        return view.StoreRevision(self._decode(_TRANSACTION_DECODER, body).revision)
+        written = self._decode(_TRANSACTION_DECODER, reply.body)
+        return view.StoreRevision(written.revision)
 
     def watch(self, prefix: str, after: view.StoreRevision, wait_s: float) -> Batch:
         """Wait up to `wait_s` for changes of keys with a prefix after a revision."""
@@ -228,19 +242,20 @@
             "after": str(after),
             "wait_ms": str(int(1000 * wait_s)),
         }
-        body = self._get(WATCH_PATH, query, wait_s + WATCH_TIMEOUT_MARGIN_S)
-        reply = self._decode(_WATCH_DECODER, body)
+        reply = self._get(WATCH_PATH, query, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        changes = self._decode(_WATCH_DECODER, reply.body)
         return Batch(
-            tuple(map(_decode_item, reply.events)),
-            view.StoreRevision(reply.at),
-            removals_untrusted_s=reply.removals_untrusted_ms / 1000,
+            tuple(map(_decode_item, changes.events)),
+            view.StoreRevision(changes.at),
+            reply.era,
+            removals_untrusted_s=changes.removals_untrusted_ms / 1000,
         )
 
     def close(self) -> None:
         """Close the connections."""
         self._pool.close()
 
-    def _get(self, path: str, query: dict[str, str], timeout_s: float) -> bytes:
+    def _get(self, path: str, query: dict[str, str], timeout_s: float) -> _Reply:
         return self._request("GET", path, timeout_s, fields=query)
 
     def _call(
@@ -249,7 +264,7 @@
         path: str,
         document: dict[str, object],
         negative_statuses: Collection[int] = (),
-    ) -> bytes | None:
+    ) -> _Reply | None:
         """Send a document; return None if the status is one of `negative_statuses`."""
         return self._request(
             method,
@@ -267,7 +282,7 @@
         timeout_s: float,
         negative_statuses: Collection[int] = (),
         **content: object,
-    ) -> bytes | None:
+    ) -> _Reply | None:
         self.call_count += 1
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         # urllib3 limits the time of each read only, not of a body that keeps coming.
@@ -286,7 +301,7 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(FailureKind.UNREACHABLE, type(error).__name__) from error
         if reply.status in (200, 204):
-            return body
+            return _Reply(body, _parse_era(reply.headers.get(ERA_HEADER)))
         if reply.status in negative_statuses:
             return None
         if reply.status == 410:
@@ -356,6 +371,15 @@
     return {"key": item.key, "revision": item.revision, "value": value}
 
 
+def _parse_era(text: str | None) -> view.StoreEra:
+    """Return the era that a reply names. Raise StoreError if it is no number."""
+    if text is None:
+        return view.StoreEra(0)
+    if not (text.isascii() and text.isdigit()):
+        raise StoreError(FailureKind.MALFORMED, f"{ERA_HEADER}: {text[:40]!r}")
+    return view.StoreEra(int(text))
+
+
 def _read_body(reply: urllib3.BaseHTTPResponse) -> bytes:
     """Return the body; close the connection of one that is too large."""
     try:
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -124,6 +124,19 @@
         }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StoreCopy:
+    """The state of a store at one moment; `lease_ttls` has the leases that lasted."""
+
+    revision: int
+    items: dict[str, _Change]
+    history: list[_Change]
+    compacted_revision: int
+    lease_ttls: dict[int, float]
+    lease_by_key: dict[str, int]
+    last_lease: int
+
+
 class FakeStore(LoopbackServer):
     """A key-value store with revisions, leases, paged reads and long-poll watches.
 
@@ -132,11 +145,13 @@
     `end_silence`, no call is answered, and those that were open then never are. After
     `compact_history`, watches from an earlier revision get status 410. After
     `snapshot_for_stale_reads`, range reads that allow stale data are answered from the
-    snapshot.
+    snapshot. `restore` begins a new `era` from what `take_copy` returned, and gives out
+    its later revisions and leases again.
     """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
         self.is_down = False
         self.is_resetting = False
         self._is_silent = False
@@ -147,7 +162,7 @@
         self._lease_ends: dict[int, Any] = {}
         self._lease_ttls: dict[int, float] = {}
         self._lease_by_key: dict[str, int] = {}
-        self._lease_numbers = itertools.count(1)
+        self._last_lease = 0
         self._history: list[_Change] = []
         self._compacted_revision = 0
         self._stale_snapshot: tuple[dict[str, _Change], int] | None = None
@@ -174,6 +189,35 @@
         """Return the keys that exist."""
         return set(self._items)
 
+    def take_copy(self) -> _StoreCopy:
+        """Return the present state, for `restore`."""
+        return _StoreCopy(
+            self.revision,
+            dict(self._items),
+            list(self._history),
+            self._compacted_revision,
+            {lease: self._lease_ttls[lease] for lease in self._lease_ends},
+            dict(self._lease_by_key),
+            self._last_lease,
+        )
+
+    def restore(self, copy: _StoreCopy) -> None:
+        """Go back to a copy; all that was written since is gone, leases too."""
+        for ending in self._lease_ends.values():
+            ending.cancel()
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._compacted_revision = copy.compacted_revision
+        self._last_lease = copy.last_lease
+        self._lease_ttls = dict(copy.lease_ttls)
+        self._lease_by_key = dict(copy.lease_by_key)
+        self._lease_ends = {}
+        for lease in self._lease_ttls:
+            self._restart_lease(lease)
+        self._notify_watchers()
+
     def fall_silent(self) -> None:
         """Answer no call until `end_silence`, also none that is open now."""
         self._is_silent = True
@@ -210,7 +254,8 @@
         response = None if self._is_silent else self._answer(environ)
         if self._is_silent or silence_count != self._silence_count:
             event.Event().wait()
-        return response
+        status, headers, body = response
+        return status, {**headers, "Store-Era": str(self.era)}, body
 
     def _answer(self, environ: dict[str, Any]) -> HttpResponse:
         self.call_count += 1
@@ -235,7 +280,8 @@
         return "404 Not Found", {}, b""
 
     def _grant_lease(self, document: dict[str, Any]) -> HttpResponse:
-        lease = next(self._lease_numbers)
+        self._last_lease += 1
+        lease = self._last_lease
         self._lease_ttls[lease] = document["ttl_ms"] / 1000
         self._restart_lease(lease)
         return self._build_reply({"lease": lease, "ttl_ms": document["ttl_ms"]})
@@ -296,18 +342,22 @@
     def _watch(self, query: dict[str, str]) -> HttpResponse:
         self.watch_count += 1
         after = int(query["after"])
+        era = self.era
         with eventlet.Timeout(int(query["wait_ms"]) / 1000, False):
-            while not self.is_down and after >= self._compacted_revision:
+            while not self.is_down and self.era == era and self._has_since(after):
                 changes = [c for c in self._history if c.revision > after]
                 if changes:
                     return self._build_watch_reply(changes[:MAX_WATCH_CHANGES])
                 self._change_event.wait()
         if self.is_down:
             return "503 Service Unavailable", {}, b""
-        if after < self._compacted_revision:
+        if self.era != era or not self._has_since(after):
             return "410 Gone", {}, b""
         return self._build_reply({"events": []})
 
+    def _has_since(self, revision: int) -> bool:
+        return self._compacted_revision <= revision <= self.revision
+
 
 def _read_json(environ: dict[str, Any]) -> dict[str, Any]:
     return json.loads(environ["wsgi.input"].read())
--- a/tests/test_gateway_event_log.py
+++ b/tests/test_gateway_event_log.py
@@ -31,7 +31,8 @@
     handler.flush()
     (line,) = read_lines(pipe[0])
     assert line["host"] == "front-1"
-    assert line["record"] == {"event": "store-history-lost", "revision": 7}
+    expected = {"event": "store-history-lost", "revision": 7, "era": 0}
+    assert line["record"] == expected
 
 
 def test_lines_over_the_rate_limit_are_dropped_and_counted(pipe):
--- a/tests/test_gateway_store_client.py
+++ b/tests/test_gateway_store_client.py
@@ -62,3 +62,25 @@
         pytest.raises(store.StoreError),
     ):
         client.probe_revision()
+
+
+REPLY_BODY = b'{"items":[],"at":7}'
+
+
+def answer_probe(era_header):
+    length = b"Content-Length: %d\r\n\r\n" % len(REPLY_BODY)
+    with serve(HEAD + era_header + length + REPLY_BODY, b"", 1.0) as client:
+        return client.probe_revision()
+
+
+@pytest.mark.parametrize(
+    ("header", "era"), [(b"Store-Era: 3\r\n", 3), (b"", 0)], ids=["named", "missing"]
+)
+def test_reply_has_the_era_that_its_header_names(header, era):
+    assert answer_probe(header) == store.Batch((), 7, era)
+
+
+def test_reply_with_an_era_that_is_no_number_is_malformed():
+    with pytest.raises(store.StoreError) as error:
+        answer_probe(b"Store-Era: new\r\n")
+    assert error.value.kind is store.FailureKind.MALFORMED
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -43,7 +43,7 @@
     def probe_revision(self):
         self.probe_count += 1
         self._fail_if_silent()
-        return self.revision
+        return store.Batch((), self.revision)
 
     def watch(self, prefix, after, wait_s):
         self._fail_if_silent()
