Read all keys again when the store has come back from an older copy

What callers saw: on a host that was frozen or cut off while the store came back, routes that had been added stayed unknown (404) and old ones in force. Cause: the watch asked for changes after a revision of before, which the store had given out again by then, and missed what was written below it; a probe with a lower revision confirmed the view. Change: each reply of the store carries its era; a reply of a later era makes the watcher read all keys again, one of an earlier era counts as lost. Removals are distrusted after a restore as after an outage. A probe of another era confirms nothing.

--- a/corianderrill/gateway/store_probe.py
+++ b/corianderrill/gateway/store_probe.py
@@ -1,9 +1,9 @@
 """Probes the platform's store while a watch of it is open.
 
 A watch that is open looks the same whether nothing changes, the store has fallen
-silent, or only the watch's connection has. Cheap reads of the store's revision on
-another connection tell these apart. A watch that will not be answered is interrupted,
-and the watcher opens the next one on a new connection.
+silent or come back from an older copy, or only the watch's connection is dead. Cheap
+reads of the store's revision on another connection tell these apart. A watch that will
+not be answered is interrupted, and the watcher opens the next one on a new connection.
 """
 
 import dataclasses
@@ -84,13 +84,22 @@
         if watching_since is None:
             return
         try:
-            revision = watcher.watched_client.probe_revision().revision
+            reply = watcher.watched_client.probe_revision()
         except store.StoreError as error:
             if watcher.watching_since == watching_since:
                 watcher.interrupt(error)
             return
-        watcher.record_probe(revision)
-        if revision <= watcher.revision:
+        watcher.record_probe(reply)
+        if reply.era > watcher.era:
+            if watcher.watching_since == watching_since:
+                watcher.interrupt(
+                    store.StoreError(
+                        store.FailureKind.RESTORED, f"era {reply.era} has begun"
+                    )
+                )
+            return
+        revision = reply.revision
+        if reply.era < watcher.era or revision <= watcher.revision:
             return
         eventlet.sleep(WATCH_REPLY_GRACE_S)
         if watcher.watching_since == watching_since and watcher.revision < revision:
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -1,8 +1,9 @@
 """Watches the platform's store and applies its changes to the view of a host.
 
 The watcher reads all keys once, then sends long-poll watches from the revision it
-has reached. It reads all keys again when the store no longer has the history. A watch
-that gets no reply is interrupted by `store_probe`.
+has reached. It reads all keys again when the store no longer has the history, or when
+the era of a reply tells that the store has come back from an older copy. A watch that
+gets no reply is interrupted by `store_probe`.
 
 Where an aggregator of the zone answers watches, the watcher sends them there, and to
 the store when no aggregator does.
@@ -46,6 +47,13 @@
 MIN_LAPSE_OUTAGE_S = 0.8
 ALL_KEYS_PREFIX = ""
 
+# The next call is to be like the one that failed; after others all keys are read.
+_KEEPS_REVISION = (
+    store.FailureKind.UNREACHABLE,
+    store.FailureKind.BUSY,
+    store.FailureKind.OUTDATED,
+)
+
 
 @dataclasses.dataclass(slots=True)
 class StoreWatcher:
@@ -108,10 +116,7 @@
                     self._read_all()
                     is_current = True
             except store.StoreError as error:
-                is_current = is_current and error.kind in (
-                    store.FailureKind.UNREACHABLE,
-                    store.FailureKind.BUSY,
-                )
+                is_current = is_current and error.kind in _KEEPS_REVISION
                 self._handle_failure(error)
 
     def _read_all(self) -> None:
@@ -124,16 +129,20 @@
         # changes.
         allow_stale = not self.revision
         batch = self.client.read_range(ALL_KEYS_PREFIX, None, allow_stale)
+        era = batch.era
+        self._refuse_outdated(era)
         self._record_success(is_current=not allow_stale)
-        self._record_era(batch.era)
         oldest_revision = batch.revision
         items = list(batch.items)
         while batch.has_more and batch.items:
             last_key = batch.items[-1].key
             batch = self.client.read_range(ALL_KEYS_PREFIX, last_key, allow_stale)
+            if batch.era != era:
+                raise _describe_era(batch.era, era)
             oldest_revision = min(oldest_revision, batch.revision)
             items += batch.items
         now = self.clock()
+        self._enter_era(era, now)
         self._apply_items(items, now)
         listed_ids = {
             documents.parse_replica_id(item.key)
@@ -162,6 +171,8 @@
         try:
             batch = self._wait_for_changes(self._get_relay_client(relay), WATCH_WAIT_S)
         except store.StoreError as error:
+            if error.kind is store.FailureKind.RESTORED:
+                raise
             self.aggregators.record_relay_failure(relay, self.clock())
             self.log.record(
                 event_log.RelayLost(relay.host, str(error), self.revision, self.era)
@@ -181,7 +192,7 @@
         wait_s = WATCH_WAIT_S
         if self.outage_started_at is not None:
             # A probe is cheaper than a watch that fails.
-            self.client.probe_revision()
+            self._check_era(self.client.probe_revision().era)
             wait_s = WATCH_WAIT_AFTER_FAILURE_S
         batch = self._wait_for_changes(self.client, wait_s)
         self._apply_batch(batch)
@@ -192,7 +203,6 @@
 
     def _apply_batch(self, batch: store.Batch) -> None:
         self._record_success(is_current=True)
-        self._record_era(batch.era)
         now = self.clock()
         self.view.distrust_removals(now + batch.removals_untrusted_s)
         self._apply_items(batch.items, now)
@@ -214,6 +224,7 @@
             self.watching_since = None
         if isinstance(result, store.StoreError):
             raise result
+        self._check_era(result.era)
         return result
 
     def _watch(
@@ -230,10 +241,10 @@
         if self._watch_thread is not None:
             self._watch_thread.kill(store.StoreError, error, None)
 
-    def record_probe(self, revision: view.StoreRevision) -> None:
-        """Record a reply to a probe: the store is at `revision` or a later one."""
+    def record_probe(self, reply: store.Batch) -> None:
+        """Record a reply to a probe: the store is at its revision or a later one."""
         self.last_reply_at = self.clock()
-        if revision <= self.revision:
+        if reply.era == self.era and reply.revision <= self.revision:
             self.view.confirmed_at = self.last_reply_at
 
     def _record_success(self, is_current: bool) -> None:
@@ -253,16 +264,35 @@
             event_log.StoreReturned(round(1000 * outage_s), self.revision, self.era)
         )
 
-    def _record_era(self, era: view.StoreEra) -> None:
-        if self.era and era > self.era:
+    def _check_era(self, era: view.StoreEra) -> None:
+        """Raise StoreError if a reply has revisions of another era than this host."""
+        if era != self.era:
+            raise _describe_era(era, self.era)
+
+    def _refuse_outdated(self, era: view.StoreEra) -> None:
+        if era < self.era:
+            raise _describe_era(era, self.era)
+
+    def _enter_era(self, era: view.StoreEra, now: float) -> None:
+        """Go on in the era of the keys that were read, if it is a new one."""
+        if era == self.era:
+            return
+        if self.revision:
             self.log.record(event_log.StoreRestored(era, self.era, self.revision))
-        self.era = max(self.era, era)
+            # Entries that were written since the copy are written again.
+            self.view.record_store_recovery(now)
+        self.era = era
 
     def _handle_failure(self, error: store.StoreError) -> None:
         now = self.clock()
         if error.kind is store.FailureKind.HISTORY_LOST:
             self.log.record(event_log.HistoryLost(self.revision, self.era))
             return
+        if error.kind is store.FailureKind.RESTORED:
+            # The line that tells of the new era follows when all keys are read. Most
+            # hosts notice at the same time.
+            eventlet.sleep(BACKOFF_BASE_S * self.rng.random())
+            return
         if self.outage_started_at is None:
             self.outage_started_at = self.last_reply_at
             silent_ms = round(1000 * (now - self.last_reply_at))
@@ -396,3 +426,9 @@
                     replica_id, "", "gone", self.revision, "dropped", self.era
                 )
             )
+
+
+def _describe_era(era: view.StoreEra, expected: view.StoreEra) -> store.StoreError:
+    """Return the error of a reply whose revisions are of another era."""
+    kind = store.FailureKind.RESTORED if era > expected else store.FailureKind.OUTDATED
+    return store.StoreError(kind, f"the reply is of era {era}, not {expected}")
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -53,13 +53,17 @@
 class FailureKind(enum.Enum):
     """Why a call failed; the values are written to the log.
 
-    HISTORY_LOST means that the store has compacted the revision that a watch asked for.
+    HISTORY_LOST means that the store has compacted the revision that a watch asked for,
+    RESTORED that it has come back from an older copy since, and OUTDATED that the reply
+    is from before it came back.
     """
 
     UNREACHABLE = "unreachable"
     BUSY = "busy"
     REFUSED = "refused"
     HISTORY_LOST = "history-lost"
+    RESTORED = "restored"
+    OUTDATED = "outdated"
     MALFORMED = "malformed"
 
 
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -28,6 +28,7 @@
     def __init__(self):
         self.revision = 5
         self.is_silent = False
+        self.era = 1
         self.watches = []
         self.probe_count = 0
 
@@ -38,19 +39,19 @@
 
     def read_range(self, prefix, after, allow_stale=False):
         self._fail_if_silent()
-        return store.Batch((), self.revision)
+        return store.Batch((), self.revision, self.era)
 
     def probe_revision(self):
         self.probe_count += 1
         self._fail_if_silent()
-        return store.Batch((), self.revision)
+        return store.Batch((), self.revision, self.era)
 
     def watch(self, prefix, after, wait_s):
         self._fail_if_silent()
         self.watches.append(after)
         if after >= self.revision:
             eventlet.sleep(wait_s)
-        return store.Batch((), self.revision)
+        return store.Batch((), self.revision, self.era)
 
 
 class FakePools:
@@ -160,3 +161,32 @@
     probe_count = watched.client.probe_count
     watched.probe.check()
     assert watched.client.probe_count == probe_count + 1
+
+
+# Guards against confirming a revision that a restored store counts anew.
+def test_probe_that_names_a_new_era_makes_the_host_read_all_keys_again(watched):
+    watched.client.era, watched.client.revision = 2, 3
+    watched.wait_until(lambda: watched.watcher.era == 2)
+    assert watched.watcher.revision == 3
+    assert watched.log.list_of(event_log.StoreRestored)[0].before == 1
+    watched.wait_until(lambda: watched.client.watches[-1] == 3)
+
+
+def test_probe_reply_from_before_the_restore_confirms_nothing(watched):
+    watched.client.era = 2
+    watched.wait_until(lambda: watched.watcher.era == 2)
+    watched.wait_until_watching()
+    confirmed_at = watched.view.confirmed_at
+    watched.watcher.record_probe(store.Batch((), 1, 1))
+    assert watched.view.confirmed_at == confirmed_at
+
+
+def test_page_of_a_later_era_than_the_first_one_is_not_mixed_with_it(watched):
+    pages = [store.Batch((), 4, 2, has_more=False), store.Batch((), 9, 1, True)]
+    watched.client.read_range = lambda *_: pages.pop()
+    item = store.Item(store.Key("a"), 9, b"v")
+    pages[-1] = store.Batch((item,), 9, 1, True)
+    with pytest.raises(store.StoreError) as error:
+        watched.watcher._read_all()
+    assert error.value.kind is store.FailureKind.RESTORED
+    assert watched.watcher.era == 1
