Tell the hosts behind an aggregator when its revisions are of another era

Cause: an aggregator that had read all keys again began its history at a lower revision than its watchers had. It held their watches as up to date, and its replies to probes confirmed them, until its revision had passed theirs. Change: the history has an era, each answer of a relay names it, a watch tells the era of its revision, and one of another era is answered at once. Such a host reads all keys from the store.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -84,7 +84,11 @@
         )
         if body is None:
             return wsgi_app.Response(503, [], b"")
-        return wsgi_app.Response(200, [("Content-Type", "application/json")], body)
+        headers = [
+            ("Content-Type", "application/json"),
+            (store.ERA_HEADER, str(self._relay.history.era)),
+        ]
+        return wsgi_app.Response(200, headers, body)
 
     def _serve_counted(self, environ: dict[str, object]) -> wsgi_app.Response:
         self.in_flight += 1
--- a/corianderrill/gateway/change_history.py
+++ b/corianderrill/gateway/change_history.py
@@ -17,18 +17,23 @@
 
 @dataclasses.dataclass(slots=True)
 class ChangeHistory:
-    """Changes after `complete_since`, up to `revision`; older ones are forgotten."""
+    """Changes after `complete_since`, up to `revision`; older ones are forgotten.
+
+    All revisions are of one `era` of the store.
+    """
 
     complete_since: view.StoreRevision = view.StoreRevision(0)
     revision: view.StoreRevision = view.StoreRevision(0)
+    era: view.StoreEra = view.StoreEra(0)
     _changes: collections.deque[store.Item] = dataclasses.field(
         default_factory=collections.deque
     )
     _changed: event.Event = dataclasses.field(default_factory=event.Event)
 
-    def restart(self, revision: view.StoreRevision) -> None:
+    def restart(self, revision: view.StoreRevision, era: view.StoreEra) -> None:
         """Begin again at a revision, because the changes before it are not known."""
         self._changes.clear()
+        self.era = era
         self.complete_since = self.revision = revision
         self.wake()
 
--- a/corianderrill/gateway/store_relay.py
+++ b/corianderrill/gateway/store_relay.py
@@ -15,6 +15,8 @@
 class StoreRelay:
     """Answers from the changes that this host has applied, while its view is current.
 
+    Each answer names the era of its revisions; a host of another era gets it at once.
+
     `max_view_age_s` is how long ago the store may have confirmed the view.
     """
 
@@ -34,8 +36,8 @@
         match store.parse_call(path, query_text):
             case store.ProbeCall():
                 return self._encode([]) if self._is_current() else None
-            case store.WatchCall(after=after, wait_s=wait_s):
-                return self._watch(after, min(wait_s, MAX_WAIT_S))
+            case store.WatchCall(after=after, era=era, wait_s=wait_s):
+                return self._watch(after, era, min(wait_s, MAX_WAIT_S))
             case _:
                 return None
 
@@ -43,16 +45,23 @@
         age_s = self.view.get_age_s(self.clock())
         return not self.is_closed and age_s <= self.max_view_age_s
 
-    def _watch(self, after: view.StoreRevision, wait_s: float) -> bytes | None:
-        if not self._is_current() or not self.history.has_all_since(after):
-            return None
+    def _watch(
+        self, after: view.StoreRevision, era: view.StoreEra, wait_s: float
+    ) -> bytes | None:
         with eventlet.Timeout(wait_s, False):
-            while not self.is_closed and self.history.revision <= after:
+            while self._can_answer(after, era) and self.history.revision <= after:
                 self.history.wait()
-        if not self._is_current() or not self.history.has_all_since(after):
+        if self._is_current() and self.history.era != era:
+            return self._encode([])
+        if not self._can_answer(after, era):
             return None
         return self._encode(self.history.list_after(after))
 
+    def _can_answer(self, after: view.StoreRevision, era: view.StoreEra) -> bool:
+        """Return whether all changes after a revision of an era are known."""
+        is_same_era = self.history.era == era
+        return self._is_current() and is_same_era and self.history.has_all_since(after)
+
     def _encode(self, changes: list[store.Item]) -> bytes:
         untrusted_s = self.view.removals_untrusted_until - self.clock()
         return store.encode_reply(changes, self.history.revision, max(untrusted_s, 0.0))
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -159,7 +159,7 @@
             if documents.format_aggregator_key(key) not in listed_keys:
                 self.aggregators.apply(key, None, oldest_revision)
         self.revision = oldest_revision
-        self.history.restart(oldest_revision)
+        self.history.restart(oldest_revision, era)
         self._retain_pools()
 
     def _watch_once(self) -> None:
@@ -232,7 +232,9 @@
     ) -> store.Batch | store.StoreError:
         """Return an error instead of raising it; eventlet would print a traceback."""
         try:
-            return client.watch(ALL_KEYS_PREFIX, self.revision, wait_s)
+            if client is self.client:
+                return client.watch(ALL_KEYS_PREFIX, self.revision, wait_s)
+            return client.watch_relay(self.revision, self.era, wait_s)
         except store.StoreError as error:
             return error
 
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -37,6 +37,8 @@
 EMPTY_PREFIX = "~"
 # In all replies of the store, and in those of an aggregator in its place.
 ERA_HEADER = "Store-Era"
+# In a watch that is sent to an aggregator.
+ERA_FIELD = "era"
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
 
@@ -114,9 +116,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchCall:
-    """A call that waits up to `wait_s` for changes after a revision."""
+    """A call that waits up to `wait_s` for changes after a revision of an era."""
 
     after: view.StoreRevision
+    era: view.StoreEra
     wait_s: float
 
 
@@ -241,11 +244,19 @@
 
     def watch(self, prefix: str, after: view.StoreRevision, wait_s: float) -> Batch:
         """Wait up to `wait_s` for changes of keys with a prefix after a revision."""
-        query = {
-            "prefix": prefix,
-            "after": str(after),
-            "wait_ms": str(int(1000 * wait_s)),
-        }
+        return self._watch({"prefix": prefix, "after": str(after)}, wait_s)
+
+    def watch_relay(
+        self, after: view.StoreRevision, era: view.StoreEra, wait_s: float
+    ) -> Batch:
+        """Wait for changes at an aggregator that answers in place of the store.
+
+        It has to know the era of the revision, which the store itself is not told.
+        """
+        return self._watch({"after": str(after), ERA_FIELD: str(era)}, wait_s)
+
+    def _watch(self, query: dict[str, str], wait_s: float) -> Batch:
+        query["wait_ms"] = str(int(1000 * wait_s))
         reply = self._get(WATCH_PATH, query, wait_s + WATCH_TIMEOUT_MARGIN_S)
         changes = self._decode(_WATCH_DECODER, reply.body)
         return Batch(
@@ -338,10 +349,11 @@
         return ProbeCall()
     try:
         after = view.StoreRevision(int(query["after"]))
+        era = view.StoreEra(int(query[ERA_FIELD]))
         wait_s = int(query["wait_ms"]) / 1000
     except (KeyError, ValueError):
         return None
-    return WatchCall(after, wait_s) if path == WATCH_PATH else None
+    return WatchCall(after, era, wait_s) if path == WATCH_PATH else None
 
 
 def encode_reply(
--- a/tests/test_gateway_store_relay.py
+++ b/tests/test_gateway_store_relay.py
@@ -10,6 +10,7 @@
 from tests.utils import gateway_builders as builders
 
 TIMEOUT_S = 5.0
+ERA = 3
 
 
 class Clock:
@@ -25,7 +26,7 @@
     clock = Clock()
     view.confirmed_at = clock.now
     history = change_history.ChangeHistory()
-    history.restart(10)
+    history.restart(10, ERA)
     return store_relay.StoreRelay(history, view, clock, max_view_age_s=2.0)
 
 
@@ -33,9 +34,11 @@
     return store.Item(store.Key(f"servers/i-{revision}"), revision, value)
 
 
-def watch(relay, after, wait_ms=1000):
+def watch(relay, after, wait_ms=1000, era=ERA):
     with eventlet.Timeout(TIMEOUT_S):
-        body = relay.answer(store.WATCH_PATH, f"after={after}&wait_ms={wait_ms}")
+        body = relay.answer(
+            store.WATCH_PATH, f"after={after}&era={era}&wait_ms={wait_ms}"
+        )
     return None if body is None else json.loads(body)
 
 
@@ -72,7 +75,7 @@
 
 def test_aggregator_that_read_all_keys_again_forgets_what_was_before(relay):
     relay.history.append((build_item(11),), 11)
-    relay.history.restart(20)
+    relay.history.restart(20, ERA)
     assert watch(relay, 11) is None
 
 
@@ -80,7 +83,7 @@
 def test_nothing_is_answered_while_the_own_view_is_not_current(relay, path):
     # Also after a suspension, which the clock counts.
     relay.clock.now += 3.0
-    query = f"prefix={store.EMPTY_PREFIX}&after=10&wait_ms=10"
+    query = f"prefix={store.EMPTY_PREFIX}&after=10&era={ERA}&wait_ms=10"
     assert relay.answer(path, query) is None
 
 
@@ -103,3 +106,22 @@
     relay.view.record_store_recovery(relay.clock.now)
     relay.history.append((build_item(11, None),), 11)
     assert watch(relay, 10)["removals_untrusted_ms"] > 2000
+
+
+# Guards against holding the watch of a host until the revisions of a restored store
+# have passed the one that it has from before.
+def test_host_with_a_revision_of_another_era_is_told_so_at_once(relay):
+    relay.history.restart(4, ERA + 1)
+    with eventlet.Timeout(1.0):
+        reply = watch(relay, 10, wait_ms=4000)
+    assert (reply["events"], reply["at"]) == ([], 4)
+
+
+def test_open_watch_ends_when_the_aggregator_enters_a_new_era(relay):
+    eventlet.spawn_after(0.05, relay.history.restart, 4, ERA + 1)
+    reply = watch(relay, 10, wait_ms=4000)
+    assert (reply["events"], reply["at"]) == ([], 4)
+
+
+def test_watch_without_an_era_is_left_to_the_store(relay):
+    assert relay.answer(store.WATCH_PATH, "after=10&wait_ms=10") is None
