Order the entries of replicas across eras by what their servers count

What callers would see: a replica that drains, or leaves, after a restore gets requests until it ends, and one that had left comes back. Cause: entries were compared by revision alone. After a restore the new ones have lower revisions and were taken for stale, and the copy's old ones, once their revision had passed, for new. The same holds for aggregator slots and demand reports. Change: a new era makes any revision a new one; an entry of the copy is applied only if its server has not written more since, by start time and count of its writes, and was not removed.

--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -78,6 +78,10 @@
             self._relay_health.pop(holder.address, None)
         return True
 
+    def enter_era(self) -> None:
+        """Take any revision for a new one, since the store counts them anew."""
+        self._revisions.clear()
+
     def list_keys(self) -> set[SlotKey]:
         """Return the slots that are held."""
         return {key for key, holder in self._holders.items() if holder is not None}
--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -94,6 +94,10 @@
             self._update_settling(now)
         return True
 
+    def enter_era(self) -> None:
+        """Take any revision for a new one, since the store counts them anew."""
+        self._revisions.clear()
+
     def _update_settling(self, now: float) -> None:
         own = self.get_own()
         services = () if own is None else own.requests_per_s
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -55,6 +55,7 @@
     """The registration of a backend server.
 
     `started_at_ms` is the start of its process in Unix milliseconds, if known;
+    `write_number` counts what this process has written;
     `warmup_s` is how long it is slow after its registration; `slots` is how many
     requests it executes at once.
     """
@@ -67,6 +68,7 @@
     state: ReplicaState
     warmup_s: float
     started_at_ms: int | None
+    write_number: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -283,6 +283,9 @@
             self.log.record(event_log.StoreRestored(era, self.era, self.revision))
             # Entries that were written since the copy are written again.
             self.view.record_store_recovery(now)
+        self.view.enter_era()
+        self.aggregators.enter_era()
+        self.limits.directory.enter_era()
         self.era = era
 
     def _handle_failure(self, error: store.StoreError) -> None:
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -2,7 +2,9 @@
 
 An update is applied only if its version (configuration) or store revision (replica)
 is higher than the current one, so range reads and watch events may arrive in any
-order.
+order. When the store comes back from an older copy, its revisions begin anew, and what
+the copy says of a replica may be older than what is known. Then the backend server's
+own count of its writes decides.
 """
 
 import dataclasses
@@ -42,6 +44,12 @@
     # when that time is over: a draining replica writes its entry repeatedly and must
     # not get a second fallback time.
     fallback_until: float | None = None
+    # The last registration that was applied; kept when the replica is dropped.
+    registration: replicas.Registration | None = None
+    is_removed: bool = False
+    # What is known is from an earlier era of the store, and was removed in it or not.
+    is_from_earlier_era: bool = False
+    was_removed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,6 +108,13 @@
         """Distrust removals at least until a time."""
         self.removals_untrusted_until = max(self.removals_untrusted_until, until)
 
+    def enter_era(self) -> None:
+        """Take any revision for a new one, since the store counts them anew."""
+        for entry in self._entries.values():
+            entry.revision = StoreRevision(0)
+            entry.is_from_earlier_era = True
+            entry.was_removed = entry.is_removed
+
     def apply_registration(
         self,
         registration: replicas.Registration,
@@ -110,11 +125,16 @@
         entry = self._entries.get(registration.id)
         if entry is not None and revision <= entry.revision:
             return UpdateOutcome.STALE
+        if entry is not None and _is_outdated(entry, registration):
+            entry.revision = revision
+            return UpdateOutcome.STALE
         replica = _update_replica(entry, registration, now)
         if replica is None:
             return UpdateOutcome.STALE
         fallback_until = self._get_fallback_end(entry, registration, now)
-        self._entries[registration.id] = _Entry(revision, replica, fallback_until)
+        self._entries[registration.id] = _Entry(
+            revision, replica, fallback_until, registration
+        )
         self._ready_by_service.clear()
         return UpdateOutcome.APPLIED
 
@@ -146,6 +166,7 @@
             self._entries[replica_id] = _Entry(revision, None)
             return UpdateOutcome.APPLIED
         entry.revision = revision
+        entry.is_removed = True
         if entry.replica is None:
             return UpdateOutcome.APPLIED
         self._ready_by_service.clear()
@@ -230,6 +251,21 @@
     return replica.registration.service
 
 
+def _is_outdated(entry: _Entry, registration: replicas.Registration) -> bool:
+    """Return whether a restored store holds less than was known before.
+
+    The backend server has written more since, or its entry has been removed.
+    """
+    known = entry.registration
+    if not entry.is_from_earlier_era or known is None:
+        return False
+    if None in (known.started_at_ms, registration.started_at_ms):
+        return False
+    known_write = (known.started_at_ms, known.write_number)
+    write = (registration.started_at_ms, registration.write_number)
+    return write < known_write or (write == known_write and entry.was_removed)
+
+
 def _update_replica(
     entry: _Entry | None, registration: replicas.Registration, now: float
 ) -> replicas.Replica | None:
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -79,6 +79,7 @@
     state: Literal["ready", "draining"]
     # The rest of the warm-up time in which the server is slow.
     warmup_left_ms: float
+    # Counts the writes of the server since its start.
     seq_no: int
     # The start time of the server, in Unix milliseconds.
     born: int | None = None
@@ -253,6 +254,7 @@
         state=replicas.ReplicaState(document.state),
         warmup_s=max(0.0, document.warmup_left_ms) / 1000,
         started_at_ms=document.born,
+        write_number=document.seq_no,
     )
 
 
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -29,6 +29,7 @@
     slots=2,
     warmup_s=0.0,
     started_at_ms=None,
+    write_number=0,
 ):
     address = address or names.Address("10.0.0.1", 8000)
     return replicas.Registration(
@@ -40,6 +41,7 @@
         state,
         warmup_s,
         started_at_ms,
+        write_number,
     )
 
 
