Trust no lease of an earlier era of the store

What callers would see: after a restore two hosts hold one aggregator slot and spend its share of the retry budget, and a host that shuts down takes a slot or a demand report from another one. Cause: ids of leases that were granted since the copy are given out again. A host renewed, wrote under or ended the lease of another host, and its own slot or report was gone unnoticed. Change: a lease has the era in which it was granted, and a reply of another era to a call with it is an error. The holder of a slot then reads its key: where the store still has its write, the lease was kept by the copy; else the slot is taken anew. Reports are published again. Keys are removed on condition of their revision, in place of ending a lease. The slack of a slot is used only when a lease that the restore has lost has run out on its former holder.

--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -52,7 +52,8 @@
     clock: Callable[[], float] = loop.read_clock
     sleep: Callable[[float], None] = eventlet.sleep
     held: aggregators.Aggregator | None = None
-    _lease: store.LeaseId | None = None
+    _lease: store.Lease | None = None
+    _revision: view.StoreRevision = view.StoreRevision(0)
     _lease_until: float = 0.0
     _is_retired: bool = False
 
@@ -87,11 +88,38 @@
 
     def _renew_lease(self) -> None:
         sent_at = self.clock()
-        if not self.client.keep_lease(self._lease):
+        try:
+            is_alive = self.client.keep_lease(self._lease)
+        except store.StoreError as error:
+            if error.kind is not store.FailureKind.RESTORED:
+                raise
+            self._reclaim_slot(str(error))
+            return
+        if not is_alive:
             self._drop_slot("the lease has ended")
         elif self.held is not None:
             self._extend(sent_at)
 
+    def _reclaim_slot(self, reason: str) -> None:
+        """Keep the slot if the restored store still has it, else take it anew.
+
+        If it has not, the lease is gone, and its id may belong to another host.
+        """
+        held = self.held
+        if held is None:
+            return
+        lease = self.client.find_lease(
+            documents.format_aggregator_key(held.key),
+            documents.encode_aggregator(held),
+            self._revision,
+        )
+        if lease is not None:
+            self._lease = lease
+            return
+        self._drop_slot(reason)
+        if not self._is_retired:
+            self._take_slot(held)
+
     def _extend(self, sent_at: float) -> None:
         # The lease runs from the arrival of the call, which is later.
         self._lease_until = sent_at + LEASE_TTL_S
@@ -120,16 +148,23 @@
         candidate = aggregators.Aggregator(
             vacant[0], self.directory.own_host, self.address, self.capacity_cores
         )
+        self._take_slot(candidate)
+
+    def _take_slot(self, candidate: aggregators.Aggregator) -> None:
+        """Take a slot, unless the store shows that another host holds it."""
         sent_at = self.clock()
         lease = self.client.grant_lease(LEASE_TTL_S)
-        if not self.client.create_key(
+        revision = self.client.create_key(
             documents.format_aggregator_key(candidate.key),
             documents.encode_aggregator(candidate),
             lease,
-        ):
+        )
+        if revision is None:
             return
-        self.held, self._lease = candidate, lease
-        self.retry_budget.take_slot(self.clock())
+        self.held, self._lease, self._revision = candidate, lease, revision
+        # A host whose lease a restored store has lost may not know it until then.
+        lapsed_at = self.view.era_since + LEASE_TTL_S
+        self.retry_budget.take_slot(max(self.clock(), lapsed_at))
         self._extend(sent_at)
         self._record(RoleChange.TAKEN, candidate, "")
 
@@ -142,15 +177,17 @@
     def retire(self) -> None:
         """Give up the slot for good, since the host shuts down."""
         self._is_retired = True
-        held, lease = self.held, self._lease
+        held = self.held
         if held is None:
             return
         self.held = self._lease = None
         self.retry_budget.lose_slot()
         try:
-            self.client.end_lease(lease)
+            self.client.remove_key(
+                documents.format_aggregator_key(held.key), self._revision
+            )
         except store.StoreError as error:
-            # The lease ends by itself.
+            # The key goes with its lease, which nobody renews.
             self._record(RoleChange.LOST, held, str(error))
             return
         self._record(RoleChange.GIVEN_UP, held, "shutdown")
--- a/corianderrill/gateway/demand_reporter.py
+++ b/corianderrill/gateway/demand_reporter.py
@@ -57,7 +57,8 @@
     log: event_log.EventLog
     rng: random.Random
     clock: Callable[[], float] = loop.read_clock
-    _lease: store.LeaseId | None = None
+    _lease: store.Lease | None = None
+    _revision: view.StoreRevision = view.StoreRevision(0)
     # Whether the report was written under this lease.
     _is_written: bool = False
     _needed_at: float | None = None
@@ -125,6 +126,7 @@
             self._drop("the lease has ended")
             return
         self._is_written = True
+        self._revision = revision
         self._extend(self._renewed_at)
         done_at = self.clock()
         interval_s = max(MIN_WRITE_INTERVAL_S, self._compute_spread_s())
@@ -146,9 +148,11 @@
 
     def _handle_failure(self, error: store.StoreError) -> None:
         """Keep the lease while it is certain to last."""
-        if self._lease is not None and (
-            self.clock() < self.limits.directory.lease_until
-        ):
+        is_certain = (
+            error.kind is not store.FailureKind.RESTORED
+            and self.clock() < self.limits.directory.lease_until
+        )
+        if self._lease is not None and is_certain:
             self._record(ReportOutcome.RENEWAL_FAILED, 0.0, str(error))
         elif self._lease is not None:
             self._drop(str(error))
@@ -170,14 +174,17 @@
     def withdraw(self) -> None:
         """Remove the report, since it is no longer needed or the host shuts down."""
         lease, self._lease = self._lease, None
-        self._is_written = False
-        if lease is None:
+        was_written, self._is_written = self._is_written, False
+        if lease is None or not was_written:
             return
         self.limits.directory.lease_until = self.clock()
         try:
-            self.client.end_lease(lease)
+            self.client.remove_key(
+                documents.format_demand_key(self.limits.directory.own_host),
+                self._revision,
+            )
         except store.StoreError as error:
-            # The lease ends by itself.
+            # The key goes with its lease, which nobody renews.
             self._record(ReportOutcome.LOST, 0.0, str(error))
             return
         self._record(ReportOutcome.WITHDRAWN, 0.0)
--- a/corianderrill/gateway/retry_budget.py
+++ b/corianderrill/gateway/retry_budget.py
@@ -79,7 +79,10 @@
         self.host_slack = hosts_slack / estimate_host_count(retry_slack)
 
     def take_slot(self, now: float) -> None:
-        """Prepare to use the slack of an aggregator slot that this host took now."""
+        """Prepare to use the slack of an aggregator slot.
+
+        Its last holder has used it until `now` at most.
+        """
         self._slot_from = now + WINDOW_S + BUCKET_S
         self._slot_until = -math.inf
 
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -283,7 +283,7 @@
             self.log.record(event_log.StoreRestored(era, self.era, self.revision))
             # Entries that were written since the copy are written again.
             self.view.record_store_recovery(now)
-        self.view.enter_era()
+        self.view.enter_era(now)
         self.aggregators.enter_era()
         self.limits.directory.enter_era()
         self.era = era
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -63,6 +63,7 @@
     register again soon. A removal that is read before `removals_untrusted_until` may be
     caused by a store outage. `confirmed_at` is when the store last showed that the view
     has all changes; for `max_unconfirmed_s` after that, the view counts as current.
+    `era_since` is when this host first read the store in its present era.
 
     Times are in seconds of the host's monotonic clock.
     """
@@ -73,6 +74,7 @@
     removals_untrusted_until: float = 0.0
     confirmed_at: float = -math.inf
     max_unconfirmed_s: float = math.inf
+    era_since: float = -math.inf
     _entries: dict[replicas.InstanceId, _Entry] = dataclasses.field(
         default_factory=dict
     )
@@ -108,8 +110,9 @@
         """Distrust removals at least until a time."""
         self.removals_untrusted_until = max(self.removals_untrusted_until, until)
 
-    def enter_era(self) -> None:
+    def enter_era(self, now: float) -> None:
         """Take any revision for a new one, since the store counts them anew."""
+        self.era_since = now
         for entry in self._entries.values():
             entry.revision = StoreRevision(0)
             entry.is_from_earlier_era = True
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -41,6 +41,8 @@
 ERA_FIELD = "era"
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
+KEY_PATH = "/api/kv-key"
+TRANSACTION_PATH = "/api/kv-txn"
 
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -77,6 +79,14 @@
         self.kind = kind
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that was granted in an era; a later era may give its id out again."""
+
+    id: LeaseId
+    era: view.StoreEra
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """A key with its value; the value is None if the key was removed."""
@@ -84,6 +94,7 @@
     key: Key
     revision: view.StoreRevision
     value: bytes | None
+    lease: LeaseId = LeaseId(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,9 +114,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reply:
-    """The body of a successful reply, and the era that it names."""
+    """The body of a reply, None if its status says no, and the era that it names."""
 
-    body: bytes
+    body: bytes | None
     era: view.StoreEra
 
 
@@ -129,6 +140,8 @@
     # In standard base64.
     value: str | None = None
     deleted: bool = False
+    # 0 for a key without a lease.
+    lease: int = 0
 
 
 class _WireLease(msgspec.Struct):
@@ -154,6 +167,7 @@
     removals_untrusted_ms: float = 0.0
 
 
+_ITEM_DECODER = msgspec.json.Decoder(_WireItem)
 _TRANSACTION_DECODER = msgspec.json.Decoder(_WireTransaction)
 _LEASE_DECODER = msgspec.json.Decoder(_WireLease)
 _RANGE_DECODER = msgspec.json.Decoder(_WireRange)
@@ -206,41 +220,85 @@
         """Return the keys with a prefix; the read may be seconds old."""
         return {item.key for item in self.read_range(prefix, None, True).items}
 
-    def grant_lease(self, ttl_s: float) -> LeaseId:
+    def grant_lease(self, ttl_s: float) -> Lease:
         """Return a new lease that ends after `ttl_s` unless it is renewed."""
         reply = self._call("POST", "/api/kv-lease", {"ttl_ms": round(1000 * ttl_s)})
-        return LeaseId(self._decode(_LEASE_DECODER, reply.body).lease)
+        id_ = LeaseId(self._decode(_LEASE_DECODER, reply.body).lease)
+        return Lease(id_, reply.era)
+
+    def keep_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return False if it has ended.
+
+        Raise StoreError of kind RESTORED if it may belong to another host now.
+        """
+        reply = self._call("POST", f"/api/kv-keep/{lease.id}", {}, (404,))
+        _check_lease_era(lease, reply)
+        return reply.body is not None
+
+    def find_lease(
+        self, key: Key, value: bytes, revision: view.StoreRevision
+    ) -> Lease | None:
+        """Return the lease of a key whose write at a revision is still in force."""
+        query = {"key": key}
+        reply = self._request(
+            "GET", KEY_PATH, CALL_TIMEOUT_S, negative_statuses=(404,), fields=query
+        )
+        if reply.body is None:
+            return None
+        item = _decode_item(self._decode(_ITEM_DECODER, reply.body))
+        if (item.value, item.revision) != (value, revision):
+            return None
+        return Lease(item.lease, reply.era)
 
-    def keep_lease(self, lease: LeaseId) -> bool:
-        """Renew a lease; return False if it has ended."""
-        return self._call("POST", f"/api/kv-keep/{lease}", {}, (404,)) is not None
+    def remove_key(self, key: Key, revision: view.StoreRevision) -> None:
+        """Remove a key, unless it has been written again since a revision.
 
-    def end_lease(self, lease: LeaseId) -> None:
-        """End a lease and remove its keys; it may have ended before."""
-        self._call("DELETE", f"/api/kv-lease-end/{lease}", {}, (404,))
+        This is used in place of ending its lease, whose id may belong to another host.
+        """
+        document = {
+            "expected_rev": [{"key": key, "revision": revision}],
+            "writes": [],
+            "deletes": [key],
+        }
+        self._call("POST", TRANSACTION_PATH, document, (412,))
 
-    def create_key(self, key: Key, value: bytes, lease: LeaseId) -> bool:
-        """Write a key under a lease, unless it exists; return whether it was written.
+    def create_key(
+        self, key: Key, value: bytes, lease: Lease
+    ) -> view.StoreRevision | None:
+        """Write a key under a lease, unless it exists; return its revision, if so.
 
         After a StoreError it may have been written. It then goes with its lease.
         """
         document = _build_write(key, value, lease)
         document["expected_rev"] = [{"key": key, "revision": 0}]
-        return self._call("POST", "/api/kv-txn", document, (404, 412)) is not None
+        return self._write(document, lease, (404, 412))
 
     def write_key(
-        self, key: Key, value: bytes, lease: LeaseId
+        self, key: Key, value: bytes, lease: Lease
     ) -> view.StoreRevision | None:
         """Write a key under a lease; return its revision, None if the lease has ended.
 
         After a StoreError it may have been written.
         """
-        document = _build_write(key, value, lease)
-        reply = self._call("POST", "/api/kv-txn", document, (404,))
-        if reply is None:
+        return self._write(_build_write(key, value, lease), lease, (404,))
+
+    def _write(
+        self,
+        document: dict[str, object],
+        lease: Lease,
+        negative_statuses: Collection[int],
+    ) -> view.StoreRevision | None:
+        reply = self._call("POST", TRANSACTION_PATH, document, negative_statuses)
+        if reply.body is None:
             return None
         written = self._decode(_TRANSACTION_DECODER, reply.body)
-        return view.StoreRevision(written.revision)
+        revision = view.StoreRevision(written.revision)
+        if reply.era != lease.era:
+            # The keys are under a lease that may belong to another host.
+            for row in document["writes"]:
+                self.remove_key(row["key"], revision)
+        _check_lease_era(lease, reply)
+        return revision
 
     def watch(self, prefix: str, after: view.StoreRevision, wait_s: float) -> Batch:
         """Wait up to `wait_s` for changes of keys with a prefix after a revision."""
@@ -279,8 +337,8 @@
         path: str,
         document: dict[str, object],
         negative_statuses: Collection[int] = (),
-    ) -> _Reply | None:
-        """Send a document; return None if the status is one of `negative_statuses`."""
+    ) -> _Reply:
+        """Send a document; `negative_statuses` are those that say no."""
         return self._request(
             method,
             path,
@@ -297,7 +355,7 @@
         timeout_s: float,
         negative_statuses: Collection[int] = (),
         **content: object,
-    ) -> _Reply | None:
+    ) -> _Reply:
         self.call_count += 1
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         # urllib3 limits the time of each read only, not of a body that keeps coming.
@@ -318,7 +376,7 @@
         if reply.status in (200, 204):
             return _Reply(body, _parse_era(reply.headers.get(ERA_HEADER)))
         if reply.status in negative_statuses:
-            return None
+            return _Reply(None, _parse_era(reply.headers.get(ERA_HEADER)))
         if reply.status == 410:
             raise StoreError(FailureKind.HISTORY_LOST, path)
         if reply.status in (429, 503):
@@ -370,12 +428,12 @@
     )
 
 
-def _build_write(key: Key, value: bytes, lease: LeaseId) -> dict[str, object]:
+def _build_write(key: Key, value: bytes, lease: Lease) -> dict[str, object]:
     """Return the transaction that writes one key, whatever it held before."""
     text = base64.b64encode(value).decode()
     return {
         "expected_rev": [],
-        "writes": [{"key": key, "value": text, "lease": lease}],
+        "writes": [{"key": key, "value": text, "lease": lease.id}],
         "deletes": [],
     }
 
@@ -387,6 +445,12 @@
     return {"key": item.key, "revision": item.revision, "value": value}
 
 
+def _check_lease_era(lease: Lease, reply: _Reply) -> None:
+    if reply.era != lease.era:
+        detail = f"lease {lease.id} of era {lease.era} in era {reply.era}"
+        raise StoreError(FailureKind.RESTORED, detail)
+
+
 def _parse_era(text: str | None) -> view.StoreEra:
     """Return the era that a reply names. Raise StoreError if it is no number."""
     if text is None:
@@ -411,6 +475,7 @@
 
 def _decode_item(item: _WireItem) -> Item:
     revision = view.StoreRevision(item.revision)
+    lease = LeaseId(item.lease)
     if item.deleted or item.value is None:
         return Item(Key(item.key), revision, None)
     try:
@@ -418,4 +483,4 @@
     except (binascii.Error, ValueError):
         # An empty value fails to decode as an entry, and that failure is reported.
         value = b""
-    return Item(Key(item.key), revision, value)
+    return Item(Key(item.key), revision, value, lease)
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -263,6 +263,8 @@
             return "503 Service Unavailable", {}, b""
         query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
         match environ["PATH_INFO"]:
+            case "/api/kv-key":
+                return self._get_key(query["key"])
             case "/api/kv-range":
                 return self._build_reply(self._list_range(query))
             case "/api/kv-watch":
@@ -314,6 +316,9 @@
             current = self._items.get(row["key"])
             if (0 if current is None else current.revision) != row["revision"]:
                 return "412 Precondition Failed", {}, b"{}"
+        for key in document["deletes"]:
+            self._lease_by_key.pop(key, None)
+            self.remove(key)
         for row in document["writes"]:
             if row["lease"] not in self._lease_ends:
                 return "404 Not Found", {}, b""
@@ -325,6 +330,14 @@
         body = json.dumps({"at": self.revision, **document}).encode()
         return "200 OK", {"Content-Type": "application/json"}, body
 
+    def _get_key(self, key: str) -> HttpResponse:
+        item = self._items.get(key)
+        if item is None:
+            return "404 Not Found", {}, b""
+        return self._build_reply(
+            {**item.to_wire(), "lease": self._lease_by_key.get(key, 0)}
+        )
+
     def _list_range(self, query: dict[str, str]) -> dict[str, Any]:
         prefix, after = query.get("prefix", ""), query.get("after", "")
         items, revision = self._items, self.revision
--- a/tests/test_gateway_view_eras.py
+++ b/tests/test_gateway_view_eras.py
@@ -29,7 +29,7 @@
 
 def restore(host_view):
     host_view.record_store_recovery(RESTORED_AT)
-    host_view.enter_era()
+    host_view.enter_era(RESTORED_AT)
 
 
 def apply(host_view, registration, revision=50, now=RESTORED_AT):
--- a/tests/utils/fake_stores.py
+++ b/tests/utils/fake_stores.py
@@ -32,19 +32,18 @@
         self._check()
         return lease in self.leases
 
-    def end_lease(self, lease):
+    def remove_key(self, key, revision):
+        """Remove a key; its lease, which nobody renews, ends at once."""
         self._check()
+        _, lease = self.keys.pop(key)
         self.leases.discard(lease)
-        self.keys = {
-            k: (v, held) for k, (v, held) in self.keys.items() if held != lease
-        }
 
     def create_key(self, key, value, lease):
         self._check()
         if key in self.keys:
-            return False
+            return None
         self.keys[key] = (value, lease)
-        return True
+        return 10
 
     def write_key(self, key, value, lease):
         self._check()
--- a/tests/utils/virtual_fleets.py
+++ b/tests/utils/virtual_fleets.py
@@ -63,8 +63,11 @@
         self._start_lease(lease, demand_reporter.LEASE_TTL_S)
         return True
 
-    def end_lease(self, lease):
-        self._expire(lease, self._ends.get(lease))
+    def remove_key(self, key, revision):
+        """Remove a key; its lease, which nobody renews, ends at once."""
+        for lease, keys in list(self._keys_by_lease.items()):
+            if key in keys:
+                self._expire(lease, self._ends.get(lease))
 
     def write_key(self, key, value, lease):
         if lease not in self._keys_by_lease:
