Count a demand report that a restored store lacks until its lease ends

What replicas would see: more requests than the limit that they advertise. Cause: hosts divided the share of a host whose report the restore had lost at once, though that host may not know yet and uses its share until its lease has run out. Change: such a report counts for one lifetime of a lease, or until it is written again.

--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -70,6 +70,8 @@
     _total_weights: dict[tuple[names.ServiceName, names.ZoneName], float] = (
         dataclasses.field(default_factory=dict)
     )
+    # Reports that a restored store lacks, and when their leases have run out.
+    _lapse_at: dict[names.HostName, float] = dataclasses.field(default_factory=dict)
     _settled_at: dict[names.ServiceName, float] = dataclasses.field(
         default_factory=dict
     )
@@ -85,6 +87,7 @@
         if revision <= self._revisions.get(host, 0):
             return False
         self._revisions[host] = revision
+        self._lapse_at.pop(host, None)
         if report is None:
             self._reports.pop(host, None)
         else:
@@ -98,6 +101,21 @@
         """Take any revision for a new one, since the store counts them anew."""
         self._revisions.clear()
 
+    def keep_until(self, host: names.HostName, lapse_at: float) -> None:
+        """Count a report that a restored store lacks until its lease has run out.
+
+        Its host may not know yet that it is gone.
+        """
+        self._lapse_at[host] = lapse_at
+
+    def drop_lapsed(self, now: float) -> None:
+        """Drop the kept reports whose leases have run out."""
+        lapsed = [host for host, at in self._lapse_at.items() if now >= at]
+        for host in lapsed:
+            del self._lapse_at[host]
+            self._reports.pop(host, None)
+            self._total_weights.clear()
+
     def _update_settling(self, now: float) -> None:
         own = self.get_own()
         services = () if own is None else own.requests_per_s
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -244,7 +244,7 @@
     def _drop_expired_replicas_and_connections(self) -> None:
         while True:
             eventlet.sleep(EXPIRY_CHECK_INTERVAL_S)
-            self._store_watcher.drop_expired_replicas()
+            self._store_watcher.drop_expired()
             self._pools.close_expired()
 
     def _flush_log(self) -> None:
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -20,6 +20,7 @@
 from corianderrill.gateway import (
     aggregators,
     change_history,
+    demand_reporter,
     event_log,
     loop,
     pools,
@@ -142,7 +143,7 @@
             oldest_revision = min(oldest_revision, batch.revision)
             items += batch.items
         now = self.clock()
-        self._enter_era(era, now)
+        is_restored = self._enter_era(era, now)
         self._apply_items(items, now)
         listed_ids = {
             documents.parse_replica_id(item.key)
@@ -153,7 +154,12 @@
             self._remove_replica(replica_id, oldest_revision, now)
         listed_keys = {item.key for item in items}
         for host in self.limits.directory.list_hosts():
-            if documents.format_demand_key(host) not in listed_keys:
+            if documents.format_demand_key(host) in listed_keys:
+                continue
+            if is_restored:
+                lapse_at = now + demand_reporter.LEASE_TTL_S
+                self.limits.directory.keep_until(host, lapse_at)
+            else:
                 self.limits.apply_report(host, None, oldest_revision, now)
         for key in self.aggregators.list_keys():
             if documents.format_aggregator_key(key) not in listed_keys:
@@ -275,11 +281,15 @@
         if era < self.era:
             raise _describe_era(era, self.era)
 
-    def _enter_era(self, era: view.StoreEra, now: float) -> None:
-        """Go on in the era of the keys that were read, if it is a new one."""
+    def _enter_era(self, era: view.StoreEra, now: float) -> bool:
+        """Go on in the era of the keys that were read; return whether it is a new one.
+
+        At the start there is nothing from an earlier era.
+        """
         if era == self.era:
-            return
-        if self.revision:
+            return False
+        is_restored = self.revision > 0
+        if is_restored:
             self.log.record(event_log.StoreRestored(era, self.era, self.revision))
             # Entries that were written since the copy are written again.
             self.view.record_store_recovery(now)
@@ -287,6 +297,7 @@
         self.aggregators.enter_era()
         self.limits.directory.enter_era()
         self.era = era
+        return is_restored
 
     def _handle_failure(self, error: store.StoreError) -> None:
         now = self.clock()
@@ -423,8 +434,9 @@
     def _retain_pools(self) -> None:
         self.pools.retain(self.view.list_addresses())
 
-    def drop_expired_replicas(self) -> None:
-        """Drop the replicas whose fallback time has expired."""
+    def drop_expired(self) -> None:
+        """Drop the replicas whose fallback time has expired, and lapsed reports."""
+        self.limits.directory.drop_lapsed(self.clock())
         for replica_id in self.view.drop_expired(self.clock()):
             self.log.record(
                 event_log.ReplicaSeen(
--- a/tests/test_gateway_watched_demand.py
+++ b/tests/test_gateway_watched_demand.py
@@ -6,7 +6,13 @@
 import random
 
 from corianderrill import names
-from corianderrill.gateway import change_history, demand, event_log, store_watcher
+from corianderrill.gateway import (
+    change_history,
+    demand,
+    demand_reporter,
+    event_log,
+    store_watcher,
+)
 from corianderrill.platform import documents, store
 from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
@@ -87,3 +93,37 @@
     assert watcher.limits.directory.list_hosts() == {HOST}
     (skipped,) = watcher.log.list_of(event_log.EntrySkipped)
     assert skipped.key == KEY
+
+
+# Guards against dividing the share of a host that does not know yet that a restored
+# store has lost its report.
+def test_report_that_a_restored_store_lacks_counts_until_its_lease_has_run_out():
+    watcher = build_watcher(
+        store.Batch((build_item(4, per_s=3.0),), 5, 1), store.Batch((), 3, 2)
+    )
+    now = 10.0
+    watcher.clock = lambda: now
+    watcher._read_all()
+    watcher._read_all()
+    now += demand_reporter.LEASE_TTL_S - 0.1
+    watcher.drop_expired()
+    assert watcher.limits.directory.list_hosts() == {HOST}
+    now += 0.2
+    watcher.drop_expired()
+    assert not watcher.limits.directory.list_hosts()
+
+
+def test_report_that_is_published_again_after_the_restore_stays():
+    watcher = build_watcher(
+        store.Batch((build_item(4, per_s=3.0),), 5, 1),
+        store.Batch((), 3, 2),
+        store.Batch((build_item(4, per_s=7.0),), 4, 2),
+    )
+    now = 10.0
+    watcher.clock = lambda: now
+    watcher._read_all()
+    watcher._read_all()
+    watcher._watch_once()
+    now += 10 * demand_reporter.LEASE_TTL_S
+    watcher.drop_expired()
+    assert watcher.limits.directory.list_hosts() == {HOST}
