Log which replicas end while they run a request, and whose it is

Change: when a connection breaks before the reply, one connect tells whether the replica still listens. If not, a line names the request's fingerprint, the process of the replica and how the request is judged; a counter counts broken exchanges by what became of the replica. Each host keeps its own notes, which any reply to the request clears. Nothing is decided by them yet.

--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -66,6 +66,10 @@
     replies.AttemptOutcome.UNUSABLE,
     replies.AttemptOutcome.MISDIRECTED,
 )
+_OUTCOMES_OF_COMPLETE_RUNS = (
+    replies.AttemptOutcome.SUCCESS,
+    replies.AttemptOutcome.ERROR_REPLY,
+)
 
 
 class RequestOutcome(enum.Enum):
@@ -128,6 +132,7 @@
         self.outcome: RequestOutcome | None = None
         self._succeeded_count = 0
         self._done_count = 0
+        self._was_run = False
         self.extra_attempts = 0
         self.denied_extra_attempts = 0
         # Set if the query was refused because of rate limits.
@@ -288,6 +293,8 @@
 
     def _take_answer(self, ended: delegation.Delegation) -> None:
         self._answers.append(ended.answer)
+        if ended.answer.shards:
+            self._record_complete_run()
         for sub_request in ended.sub_requests:
             if sub_request.index in ended.answer.shards:
                 sub_request.is_in_answer = True
@@ -430,6 +437,9 @@
                     self.shared.rate_limits.record_reply(attempt.replica, reply, now)
             case connections.FailedExchange(sent=sent):
                 reply = None
+                self.shared.crash_watch.record_break(
+                    attempt.replica, result, self.request, self._has_reply
+                )
                 outcome = (
                     replies.AttemptOutcome.UNUSABLE
                     if sent
@@ -442,11 +452,21 @@
                 attempt.replica.registration.zone, now
             )
         self._record_attempt_outcome(attempt, outcome, now)
+        if outcome in _OUTCOMES_OF_COMPLETE_RUNS:
+            self._record_complete_run()
         if self.outcome is not None:
             return
         self._update_sub_request(attempt.sub_request, attempt, outcome, reply, now)
         self._finish_if_decided(now)
 
+    def _record_complete_run(self) -> None:
+        """Record that a replica ran the request to its end, so it crashes none."""
+        self._was_run = True
+        self.shared.crash_watch.record_reply(self.request)
+
+    def _has_reply(self) -> bool:
+        return self._was_run
+
     def _record_attempt_outcome(
         self, attempt: attempts.Attempt, outcome: replies.AttemptOutcome, now: float
     ) -> None:
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -212,6 +212,50 @@
     detail: str = ""
 
 
+class ReplicaCrashed(msgspec.Struct, tag="crash", tag_field="event"):
+    """A process of a replica ended while it ran a request.
+
+    `fingerprint` is equal for repetitions of the request. `verdict` tells what is done
+    with those from now on.
+    """
+
+    request_id: str
+    fingerprint: str
+    replica: str
+    service: str
+    verdict: str
+
+
+class SuspicionCleared(msgspec.Struct, tag="crash-cleared", tag_field="event"):
+    """A replica replied to a request under which others had ended."""
+
+    request_id: str
+    fingerprint: str
+
+
+class CrashNotesSeen(msgspec.Struct, tag="crash-notes", tag_field="event"):
+    """Notes on a request under which replicas ended were read, or their removal.
+
+    `crashes` is the number of processes that ended, `trials` that of attempts that were
+    claimed since; both are 0 after the removal.
+    """
+
+    fingerprint: str
+    crashes: int
+    trials: int
+    verdict: str
+    revision: int
+    era: int = 0
+
+
+class CrashNotesWritten(msgspec.Struct, tag="crash-notes-written", tag_field="event"):
+    """The host wrote or removed notes on a request, claimed a trial, or failed to."""
+
+    fingerprint: str
+    outcome: str
+    detail: str = ""
+
+
 class EntrySkipped(msgspec.Struct, tag="entry-skipped", tag_field="event"):
     """An entry of the store was ignored because it is invalid or was removed."""
 
@@ -243,7 +287,8 @@
     store confirmed it, `left_ms` the time left until the deadline. `parts` counts the
     services that replied, `missing` those that did not. `repeats` counts the retries
     and hedges, `denied` those that the retry budget did not allow. `attempts` is empty
-    for a request that succeeded within its goal.
+    for a request that succeeded within its goal. `verdict` is set for a request under
+    which replicas are known to have ended.
     """
 
     request_id: str
@@ -261,6 +306,7 @@
     attempts: list[AttemptSummary]
     view_age_ms: float | None = None
     limited: int = 0
+    verdict: str = ""
 
 
 class RequestRefused(msgspec.Struct, tag="refused", tag_field="event"):
@@ -335,6 +381,10 @@
     | ZoneSuspected
     | RateLimitSeen
     | DemandReported
+    | ReplicaCrashed
+    | SuspicionCleared
+    | CrashNotesSeen
+    | CrashNotesWritten
     | EntrySkipped
     | RequestEnded
     | RequestRefused
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -17,11 +17,13 @@
     aggregators,
     caller_connections,
     change_history,
+    crash_watch,
     demand,
     demand_reporter,
     event_log,
     loop,
     pools,
+    quarantine,
     query_rate,
     rate_limits,
     request_rates,
@@ -88,6 +90,7 @@
         self._pools = pools.PoolManager(retry_budget.MIN_HOSTS)
         meter = metrics.Recorder()
         self._demand = demand.DemandDirectory(host_settings.host)
+        self._quarantine = quarantine.Quarantine(rng)
         self._shared = shared_state.SharedState(
             zone=host_settings.zone,
             view=self._view,
@@ -102,6 +105,9 @@
             query_rate=query_rate.QueryRate(),
             rate_limits=rate_limits.RateLimits(self._demand, self.log, meter, rng),
             request_rates=request_rates.RequestRates(loop.read_clock()),
+            crash_watch=crash_watch.CrashWatch(
+                self._quarantine, self._view, self.log, meter
+            ),
         )
         self._app = wsgi_app.GatewayApp(self._shared)
         history = change_history.ChangeHistory()
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -6,6 +6,7 @@
 from corianderrill import metrics, names
 from corianderrill.gateway import (
     aggregators,
+    crash_watch,
     event_log,
     latency,
     limit_plan,
@@ -40,6 +41,7 @@
     query_rate: query_rate.QueryRate
     rate_limits: rate_limits.RateLimits
     request_rates: request_rates.RequestRates
+    crash_watch: crash_watch.CrashWatch
     limit_planner: limit_plan.LimitPlanner = dataclasses.field(
         default_factory=limit_plan.LimitPlanner
     )
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -219,6 +219,12 @@
 GATEWAY_CONNECTIONS = _gauge(
     "gateway_connections_opened", "Connections opened to addresses in use."
 )
+GATEWAY_BROKEN_EXCHANGES = _count(
+    "gateway_broken_exchanges",
+    "Connections that broke before a reply, by what became of the replica.",
+    ("liveness",),
+    3,
+)
 GATEWAY_STORE_ERA = _gauge(
     "gateway_store_era", "Era of the platform's store that this host has reached."
 )
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -2,17 +2,20 @@
 
 import dataclasses
 import functools
+import hashlib
 import re
 from collections.abc import Iterable, Sequence
 
 from corianderrill import names
-from corianderrill.gateway import connections, replicas, replies
+from corianderrill.gateway import connections, quarantine, replicas, replies
 
 REQUEST_ID_HEADER = "X-Request-Id"
 DEADLINE_MS_HEADER = "X-Deadline-Ms"
 EXPECT_INSTANCE_HEADER = "X-Expect-Instance"
 PART_STAMPS_HEADER = "X-Part-Stamps"
 MISSING_PARTS_HEADER = "X-Missing-Parts"
+CREDENTIALS_HEADER = "Authorization"
+FINGERPRINT_BYTES = 12
 RETRY_AFTER_HEADER = "Retry-After"
 READY_PATH = "/api/ready"
 # Sent by a server other than the expected replica; it has not executed the request.
@@ -61,6 +64,16 @@
     received_at: float
     head: bytes
     body: bytes
+    # What the caller proves its identity with; empty if it does not.
+    credentials: str = ""
+
+    def compute_fingerprint(self) -> quarantine.Fingerprint:
+        """Return what this request has in common with its repetitions."""
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (self.method, self.host.lower(), self.target, self.credentials):
+            digest.update(part.encode("latin-1") + b"\n")
+        digest.update(self.body)
+        return quarantine.Fingerprint(digest.hexdigest())
 
     def render_sub_request(
         self, replica: replicas.InstanceId, remaining_s: float
@@ -107,6 +120,7 @@
         received_at=received_at,
         head="\r\n".join(head_lines).encode("latin-1"),
         body=body,
+        credentials=find_header(headers, CREDENTIALS_HEADER) or "",
     )
 
 
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -6,7 +6,9 @@
 from corianderrill.gateway import (
     aggregators,
     connections,
+    crash_watch,
     demand,
+    quarantine,
     rate_limits,
     replicas,
     routes,
@@ -68,6 +70,18 @@
     return rate_limits.RateLimits(directory, log, metrics.Recorder(), random.Random(1))
 
 
+def build_crash_watch(view, log, clock, check=lambda address, report: None):
+    """Return a watch whose check of an address calls nothing, unless told."""
+    return crash_watch.CrashWatch(
+        quarantine.Quarantine(random.Random(1)),
+        view,
+        log,
+        metrics.Recorder(),
+        clock,
+        check,
+    )
+
+
 def build_limited_reply(limit, status=200):
     """Return a reply that names a limit: text, a number, or None for no limit."""
     text = limit if isinstance(limit, bytes) else str(limit).encode()
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -357,6 +357,7 @@
             query_rate=query_rate.QueryRate(),
             rate_limits=rate_limits.RateLimits(self.demand, log, meter, self.rng),
             request_rates=request_rates.RequestRates(0.0),
+            crash_watch=builders.build_crash_watch(belief, log, self.loop.now),
         )
         self.ended = []
         self.coordinators = []
