--- /dev/null
+++ b/tests/test_gateway_crashing_requests.py
@@ -0,0 +1,97 @@
+"""A request that crashes each replica that runs it, and comes again at any host.
+
+Pattern: the replicas of a service end one after the other under the same request, and
+are back after some seconds; the sound requests of the service find fewer and fewer.
+"""
+
+import itertools
+import time
+
+import eventlet
+import pytest
+
+from tests.utils import crashing_servers, gateway_rig
+
+HOSTS = 3
+REPLICAS = 4
+ARRIVAL_INTERVAL_S = 0.15
+# After a request has crashed so many replicas, and hosts had time to hear of it, at
+# most this many more of its attempts reach one.
+CRASHES = 3
+MAX_LATE_ATTEMPTS = 3
+
+
+class Site:
+    """Hosts in front of replicas that crash, and requests to all of them in turn."""
+
+    def __init__(self, directory, hosts=HOSTS, replicas=REPLICAS):
+        self.rig = gateway_rig.GatewayRig(directory)
+        for number in range(1, hosts):
+            self.rig.add_host(f"front-{number + 1}")
+        self.store = self.rig.store
+        self.servers = [
+            crashing_servers.CrashingServer(self.store) for _ in range(replicas)
+        ]
+        self.rig.publish_configuration(single={"type": "safe", "max_attempts": 2})
+        for server in (*self.rig.shard_servers, *self.servers):
+            server.register(self.store)
+        self._numbers = itertools.count()
+
+    def start(self):
+        for host in self.rig.hosts:
+            host.start()
+        for host in self.rig.hosts:
+            self.rig.wait_until_ready(host)
+            self.rig.wait_until(lambda host=host: self.ask(host, "/single/x") == 200)
+
+    def ask(self, host, path):
+        request_id = f"q-{next(self._numbers)}"
+        try:
+            return host.send_request(path, request_id)[0].status
+        except OSError:
+            return None
+
+    def send_crashing(self, seconds, hosts=None):
+        """Send the crashing request to the hosts in turn; return the answers."""
+        until = time.monotonic() + seconds
+        statuses = []
+        for host in itertools.cycle(hosts or self.rig.hosts):
+            if time.monotonic() >= until:
+                return statuses
+            statuses.append(self.ask(host, crashing_servers.CRASH_PATH))
+            eventlet.sleep(ARRIVAL_INTERVAL_S)
+
+    def list_runs(self):
+        return sorted(
+            itertools.chain.from_iterable(server.runs for server in self.servers),
+            key=lambda run: run.at,
+        )
+
+    def count_late_runs(self, contact_s=gateway_rig.CONTACT_S):
+        runs = self.list_runs()
+        if len(runs) < CRASHES:
+            return 0
+        since = runs[CRASHES - 1].at + contact_s
+        return sum(run.at > since for run in runs)
+
+    def stop(self):
+        for server in self.servers:
+            server.stop()
+        self.rig.stop()
+
+
+@pytest.fixture
+def site(tmp_path):
+    running = Site(tmp_path)
+    try:
+        running.start()
+        yield running
+    finally:
+        running.stop()
+
+
+# Guards against a request that ends one replica after the other, over all hosts.
+def test_request_that_crashed_three_replicas_reaches_hardly_any_more(site):
+    site.send_crashing(gateway_rig.CONTACT_S + 4.0)
+    assert len(site.list_runs()) >= CRASHES
+    assert site.count_late_runs() <= MAX_LATE_ATTEMPTS
