Refuse a request that has crashed the replicas that ran it

Change: hosts note in the platform's store which processes of replicas ended under which request, told by its method, host, path, credentials and body. After a crash it gets one attempt an arrival; after three replicas in two arrivals it is refused at once, unsent. A host without a store, which does not hear of the others, refuses it after its first crash. Any reply of a replica clears the request; one host may try a quarantined one after 5 s, once more after 10 minutes, each claimed in the store, with one sub-request. Notes have no lease, are merged on condition of their revision, and are written again after a restore.

--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -21,6 +21,7 @@
     delegation_messages,
     event_log,
     limit_plan,
+    quarantine,
     replica_selector,
     replicas,
     replies,
@@ -112,6 +113,7 @@
         mode: delegation.Mode = delegation.Mode.NOTHING,
         terms: delegation_messages.Terms | None = None,
         is_caller_connected: Callable[[], bool] = lambda: True,
+        is_trial: bool = False,
     ) -> None:
         self.shared = shared
         self.loop = shared.loop
@@ -133,10 +135,14 @@
         self._succeeded_count = 0
         self._done_count = 0
         self._was_run = False
+        self.verdict = quarantine.Verdict.CLEAR
         self.extra_attempts = 0
         self.denied_extra_attempts = 0
-        # Set if the query was refused because of rate limits.
+        # Set if the query was refused because of rate limits or of crashes.
         self.retry_after_s: float | None = None
+        # A trial sends one sub-request first, and so crashes one replica at most.
+        self._is_trial = is_trial
+        self._untried: Sequence[attempts.SubRequest] = ()
         self._postponed: list[attempts.SubRequest] = []
         started_at = request.received_at
         time_limit_s = min(request.time_limit_s, route.timeout_s)
@@ -168,6 +174,10 @@
     def start(self) -> None:
         """Send the first attempts; the outcome may be decided before this returns."""
         now = self.loop.now()
+        self.verdict = self.shared.crash_watch.assess(self.request)
+        if self.verdict is quarantine.Verdict.QUARANTINED and not self._is_trial:
+            self._refuse_quarantined(now)
+            return
         self._latency_estimator.refresh(now)
         lead_s = (
             LAST_CHANCE_HEDGE_LEAD_FACTOR * self._latency_estimator.expected_latency_s
@@ -176,12 +186,15 @@
         groups = self._plan_delegations(now)
         delegated = {s for group in groups for s in group.sub_requests}
         direct = [s for s in self.sub_requests if s not in delegated]
+        if self._is_trial:
+            direct, self._untried = direct[:1], direct[1:]
         # Decided before anything is sent, so that a refusal says truly "not executed".
         direct = self._hold_back_limited(direct, now)
         if self._count_possible() >= self._required_count:
             for group in groups:
                 self._start_delegation(group)
             self._start_first_attempts(direct, now)
+            self._give_up_untried()
         self._finish_if_decided(self.loop.now())
         if self.outcome is None:
             self._set_timer(self.loop.now())
@@ -196,6 +209,25 @@
             if self.outcome is None and not sub_request.is_done:
                 self._start_attempt(sub_request, "first", now)
 
+    # Requests under which replicas have crashed.
+
+    def _refuse_quarantined(self, now: float) -> None:
+        for sub_request in self.sub_requests:
+            self._mark_done(sub_request)
+        self.retry_after_s = quarantine.RETRY_AFTER_S
+        self.shared.meter.count(metrics.GATEWAY_QUARANTINED)
+        self._finish_if_decided(now)
+
+    def _give_up_untried(self) -> None:
+        """Give up what waits for the first sub-request of a trial that has failed."""
+        if not self._untried or any(
+            s.attempts and not s.is_done for s in self.sub_requests
+        ):
+            return
+        untried, self._untried = self._untried, ()
+        for sub_request in untried:
+            self._mark_done(sub_request)
+
     # Rate limits of replicas.
 
     def _hold_back_limited(
@@ -335,6 +367,11 @@
         """Return how many parts were received."""
         return sum(sub_request.has_part for sub_request in self.sub_requests)
 
+    def get_verdict_label(self) -> str:
+        """Return how the request was judged at its start; empty if it was clear."""
+        is_clear = self.verdict is quarantine.Verdict.CLEAR
+        return "" if is_clear else self.verdict.value
+
     def count_limited(self) -> int:
         """Return how many sub-requests were left out because of rate limits."""
         return sum(sub_request.is_limited for sub_request in self.sub_requests)
@@ -410,13 +447,17 @@
         return True
 
     def _may_repeat(self, sub_request: attempts.SubRequest, now: float) -> bool:
-        """Return whether no other host may have sent attempts in place of this one.
+        """Return whether to send one more attempt after those that may have run.
 
-        A host that delegates a query and hears nothing sends its own attempts. What a
-        replica refused is no attempt in this sense.
+        Another host may have sent attempts in place of this one: a host that delegates
+        a query and hears nothing sends its own. And a request that has crashed replicas
+        gets no second attempt. What a replica refused is no attempt in this sense.
         """
         if not any(attempt.may_have_executed() for attempt in sub_request.attempts):
             return True
+        verdict = self.shared.crash_watch.assess(self.request)
+        if verdict is not quarantine.Verdict.CLEAR:
+            return False
         return now >= self._repeat_from and self._is_caller_connected()
 
     # Handling the end of an attempt.
@@ -457,12 +498,16 @@
         if self.outcome is not None:
             return
         self._update_sub_request(attempt.sub_request, attempt, outcome, reply, now)
+        self._give_up_untried()
         self._finish_if_decided(now)
 
     def _record_complete_run(self) -> None:
         """Record that a replica ran the request to its end, so it crashes none."""
         self._was_run = True
         self.shared.crash_watch.record_reply(self.request)
+        untried, self._untried = self._untried, ()
+        if self.outcome is None:
+            self._start_first_attempts(untried, self.loop.now())
 
     def _has_reply(self) -> bool:
         return self._was_run
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -17,6 +17,7 @@
     aggregators,
     caller_connections,
     change_history,
+    crash_notes,
     crash_watch,
     demand,
     demand_reporter,
@@ -109,7 +110,12 @@
                 self._quarantine, self._view, self.log, meter
             ),
         )
-        self._app = wsgi_app.GatewayApp(self._shared)
+        self._store_client = store.StoreClient(host_settings.store_address)
+        self._crash_notes = crash_notes.CrashNotes(
+            self._store_client, self._view, self._quarantine, self.log, rng
+        )
+        self._shared.crash_watch.on_noted = self._crash_notes.wake
+        self._app = wsgi_app.GatewayApp(self._shared, self._crash_notes.claim_trial)
         history = change_history.ChangeHistory()
         self._store_relay = store_relay.StoreRelay(
             history, self._view, self._shared.loop.now
@@ -117,7 +123,6 @@
         self._aggregator_app = aggregator_app.AggregatorApp(
             self._shared, self._store_relay, host_settings.capacity_cores
         )
-        self._store_client = store.StoreClient(host_settings.store_address)
         self._store_watcher = store_watcher.StoreWatcher(
             self._store_client,
             self._view,
@@ -128,6 +133,7 @@
             self.log,
             rng,
             history,
+            self._quarantine,
         )
         self._store_probe = store_probe.StoreProbe(self._store_watcher, rng)
         self._aggregator_role = aggregator_role.AggregatorRole(
@@ -201,6 +207,7 @@
         eventlet.spawn(self._store_watcher.run)
         eventlet.spawn(self._store_probe.run)
         self._demand_task = eventlet.spawn(self._demand_reporter.run)
+        eventlet.spawn(self._crash_notes.run)
         eventlet.spawn(self._drop_expired_replicas_and_connections)
         eventlet.spawn(self._flush_log)
         eventlet.spawn(self._check_settings)
--- a/corianderrill/gateway/quarantine.py
+++ b/corianderrill/gateway/quarantine.py
@@ -27,6 +27,8 @@
 MAX_CRASHED_ARRIVALS = 2
 # When a quarantined request may be tried again, after its last crash or trial.
 TRIAL_DELAYS_S = (5.0, 600.0)
+# The caller of a quarantined request is told to wait for so long.
+RETRY_AFTER_S = TRIAL_DELAYS_S[0]
 # Without a further crash, a suspicion ends after the first time, a quarantine after the
 # second.
 SUSPICION_S = 60.0
@@ -137,7 +139,7 @@
         return True
 
     def record_reply(self, fingerprint: Fingerprint) -> bool:
-        """Clear a request that a replica ran to its end; return whether it was known."""
+        """Clear a request that a replica ran to its end; return if it was known."""
         record = self._records.pop(fingerprint, None)
         if record is None:
             return False
@@ -169,15 +171,17 @@
         notes: Notes | None,
         revision: view.StoreRevision,
         now: float,
-    ) -> None:
-        """Take over what the store holds of a request; None if it was cleared."""
+    ) -> bool:
+        """Take over what the store holds of a request; None if it was cleared.
+
+        Return False if that or later notes were known.
+        """
         record = self._records.get(fingerprint)
         if record is not None and revision <= record.revision:
-            return
+            return False
         if notes is None:
             self._withdrawn.pop(fingerprint, None)
-            self._records.pop(fingerprint, None)
-            return
+            return self._records.pop(fingerprint, None) is not None
         record = self._get_record(fingerprint, now)
         if not notes.crashes <= record.crashes or notes.trials > record.trials:
             record.changed_at = now
@@ -185,6 +189,7 @@
         record.trials = max(record.trials, notes.trials)
         record.stored = notes
         record.revision = revision
+        return True
 
     def forget_stored(self, fingerprint: Fingerprint) -> None:
         """Take over that the store holds no notes of a request."""
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -24,6 +24,7 @@
     event_log,
     loop,
     pools,
+    quarantine,
     rate_limits,
     view,
 )
@@ -76,6 +77,7 @@
     log: event_log.EventLog
     rng: random.Random
     history: change_history.ChangeHistory
+    quarantine: quarantine.Quarantine
     batch_delay_s: float = 0.5
     min_batch_delay_s: float = 0.5
     clock: Callable[[], float] = loop.read_clock
@@ -161,6 +163,9 @@
                 self.limits.directory.keep_until(host, lapse_at)
             else:
                 self.limits.apply_report(host, None, oldest_revision, now)
+        for fingerprint in self.quarantine.list_stored():
+            if documents.format_crash_key(fingerprint) not in listed_keys:
+                self._apply_notes(fingerprint, None, oldest_revision, now)
         for key in self.aggregators.list_keys():
             if documents.format_aggregator_key(key) not in listed_keys:
                 self.aggregators.apply(key, None, oldest_revision)
@@ -293,6 +298,7 @@
             self.log.record(event_log.StoreRestored(era, self.era, self.revision))
             # Entries that were written since the copy are written again.
             self.view.record_store_recovery(now)
+        self.quarantine.enter_era(now)
         self.view.enter_era(now)
         self.aggregators.enter_era()
         self.limits.directory.enter_era()
@@ -331,6 +337,42 @@
                 self._apply_aggregator_item(item)
             elif item.key.startswith(documents.DEMAND_KEY_PREFIX):
                 self._apply_demand_item(item, now)
+            elif item.key.startswith(documents.CRASH_KEY_PREFIX):
+                self._apply_crash_item(item, now)
+
+    def _apply_crash_item(self, item: store.Item, now: float) -> None:
+        try:
+            notes = (
+                None
+                if item.value is None
+                else documents.decode_notes(item.key, item.value)
+            )
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        self._apply_notes(
+            documents.parse_crash_key(item.key), notes, item.revision, now
+        )
+
+    def _apply_notes(
+        self,
+        fingerprint: quarantine.Fingerprint,
+        notes: quarantine.Notes | None,
+        revision: view.StoreRevision,
+        now: float,
+    ) -> None:
+        if not self.quarantine.apply_notes(fingerprint, notes, revision, now):
+            return
+        self.log.record(
+            event_log.CrashNotesSeen(
+                fingerprint=fingerprint,
+                crashes=0 if notes is None else len(notes.crashes),
+                trials=0 if notes is None else notes.trials,
+                verdict=self.quarantine.assess(fingerprint, True).value,
+                revision=revision,
+                era=self.era,
+            )
+        )
 
     def _apply_demand_item(self, item: store.Item, now: float) -> None:
         host = documents.parse_demand_key(item.key)
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -13,6 +13,7 @@
     coordinator,
     delegation,
     event_log,
+    quarantine,
     replicas,
     replies,
     routes,
@@ -69,8 +70,13 @@
 class GatewayApp:
     """Validates the requests of callers, forwards them and records their outcome."""
 
-    def __init__(self, shared: shared_state.SharedState) -> None:
+    def __init__(
+        self,
+        shared: shared_state.SharedState,
+        claim_trial: Callable[[quarantine.Fingerprint], bool],
+    ) -> None:
         self._shared = shared
+        self._claim_trial = claim_trial
         self._target_selector = targets.TargetSelector(shared.rng)
         self._started_at = shared.loop.now()
         self._last_zone_probe_at = 0.0
@@ -200,6 +206,7 @@
             return self._refuse(inbound.id, route.name, 503, reason, MIN_RETRY_AFTER_S)
         if isinstance(route.target, routes.ScatterGather):
             self._shared.query_rate.record(inbound.received_at)
+        is_trial = self._try_claim_trial(inbound)
         connection = environ["corianderrill.connection"]
         margin_s = coordinator.ANSWER_DELIVERY_MARGIN_S
         if connection.requests_served == 0:
@@ -213,7 +220,10 @@
             services,
             outcome_event.send,
             margin_s,
-            delegation.select_mode(self._shared, route, inbound.received_at),
+            delegation.Mode.NOTHING
+            if is_trial
+            else delegation.select_mode(self._shared, route, inbound.received_at),
+            is_trial=is_trial,
         )
         disconnect_watcher = caller_connections.DisconnectWatcher(
             environ["eventlet.input"].get_socket(),
@@ -228,6 +238,13 @@
         self._record_request(request_coordinator, outcome, response)
         return response
 
+    def _try_claim_trial(self, inbound: requests.InboundRequest) -> bool:
+        """Return whether to try a quarantined request once more."""
+        verdict = self._shared.crash_watch.assess(inbound)
+        return verdict is quarantine.Verdict.QUARANTINED and self._claim_trial(
+            inbound.compute_fingerprint()
+        )
+
     def _find_refusal_reason(
         self, route: routes.Route, services: tuple[str, ...], now: float
     ) -> str | None:
@@ -391,6 +408,7 @@
                 denied=request_coordinator.denied_extra_attempts,
                 view_age_ms=self._get_view_age_ms(),
                 limited=request_coordinator.count_limited(),
+                verdict=request_coordinator.get_verdict_label(),
                 attempts=[]
                 if is_complete_in_time
                 else _summarize_attempts(request_coordinator),
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -219,6 +219,9 @@
 GATEWAY_CONNECTIONS = _gauge(
     "gateway_connections_opened", "Connections opened to addresses in use."
 )
+GATEWAY_QUARANTINED = _count(
+    "gateway_quarantined", "Requests refused since they had crashed replicas."
+)
 GATEWAY_BROKEN_EXCHANGES = _count(
     "gateway_broken_exchanges",
     "Connections that broke before a reply, by what became of the replica.",
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -8,13 +8,14 @@
 import msgspec
 
 from corianderrill import names
-from corianderrill.gateway import aggregators, demand, replicas, routes
+from corianderrill.gateway import aggregators, demand, quarantine, replicas, routes
 from corianderrill.platform import settings
 
 CONFIGURATION_KEY = "op/config"
 SERVER_KEY_PREFIX = "servers/"
 AGGREGATOR_KEY_PREFIX = "aggregators/"
 DEMAND_KEY_PREFIX = "demand/"
+CRASH_KEY_PREFIX = "crashes/"
 # HTTP/1.1; services with another protocol are ignored.
 _SUPPORTED_PROTOCOL = "h1"
 
@@ -99,6 +100,13 @@
     lifted: list[str] = []
 
 
+class _WireNotes(msgspec.Struct):
+    # Pairs of the process of a replica and the id of the request that it ran.
+    crashes: list[tuple[str, str]]
+    trials: int = 0
+
+
+_NOTES_DECODER = msgspec.json.Decoder(_WireNotes)
 _AGGREGATOR_DECODER = msgspec.json.Decoder(_WireAggregator)
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_WireConfiguration)
 _DEMAND_DECODER = msgspec.json.Decoder(_WireDemand)
@@ -234,6 +242,36 @@
     )
 
 
+def format_crash_key(fingerprint: quarantine.Fingerprint) -> str:
+    """Return the store's key of the notes of a request."""
+    return f"{CRASH_KEY_PREFIX}{fingerprint}"
+
+
+def parse_crash_key(key: str) -> quarantine.Fingerprint:
+    """Return the request whose notes have a key."""
+    return quarantine.Fingerprint(key.removeprefix(CRASH_KEY_PREFIX))
+
+
+def encode_notes(notes: quarantine.Notes) -> bytes:
+    """Return the value of the key of the notes of a request."""
+    pairs = sorted((crash.replica, crash.request_id) for crash in notes.crashes)
+    return msgspec.json.encode(_WireNotes(pairs, notes.trials))
+
+
+def decode_notes(key: str, value: bytes) -> quarantine.Notes:
+    """Decode the notes of a request. Raise DocumentError if they are invalid."""
+    document = _decode(_NOTES_DECODER, value)
+    if document.trials < 0:
+        raise DocumentError(f"{key}: trials: {document.trials} is negative")
+    return quarantine.Notes(
+        frozenset(
+            quarantine.Crash(replica, names.RequestId(request_id))
+            for replica, request_id in document.crashes
+        ),
+        document.trials,
+    )
+
+
 def parse_replica_id(key: str) -> replicas.InstanceId:
     """Return the replica ID in the key of an entry."""
     return replicas.InstanceId(key.removeprefix(SERVER_KEY_PREFIX))
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -239,16 +239,45 @@
         self, key: Key, value: bytes, revision: view.StoreRevision
     ) -> Lease | None:
         """Return the lease of a key whose write at a revision is still in force."""
-        query = {"key": key}
-        reply = self._request(
-            "GET", KEY_PATH, CALL_TIMEOUT_S, negative_statuses=(404,), fields=query
+        reply = self._read_key(key)
+        item = self._decode_key(reply)
+        if item is None or (item.value, item.revision) != (value, revision):
+            return None
+        return Lease(item.lease, reply.era)
+
+    def read_key(self, key: Key) -> Item | None:
+        """Return the current item of a key; None if it does not exist."""
+        return self._decode_key(self._read_key(key))
+
+    def _read_key(self, key: Key) -> _Reply:
+        return self._request(
+            "GET",
+            KEY_PATH,
+            CALL_TIMEOUT_S,
+            negative_statuses=(404,),
+            fields={"key": key},
         )
+
+    def _decode_key(self, reply: _Reply) -> Item | None:
         if reply.body is None:
             return None
-        item = _decode_item(self._decode(_ITEM_DECODER, reply.body))
-        if (item.value, item.revision) != (value, revision):
+        return _decode_item(self._decode(_ITEM_DECODER, reply.body))
+
+    def replace_key(
+        self, key: Key, value: bytes, former: view.StoreRevision
+    ) -> view.StoreRevision | None:
+        """Write a key without a lease if its last change is at `former`, 0 if none.
+
+        Return its revision; None if the key has changed. After a StoreError it may have
+        been written.
+        """
+        document = _build_write(key, value, LeaseId(0))
+        document["expected_rev"] = [{"key": key, "revision": former}]
+        reply = self._call("POST", TRANSACTION_PATH, document, (412,))
+        if reply.body is None:
             return None
-        return Lease(item.lease, reply.era)
+        written = self._decode(_TRANSACTION_DECODER, reply.body)
+        return view.StoreRevision(written.revision)
 
     def remove_key(self, key: Key, revision: view.StoreRevision) -> None:
         """Remove a key, unless it has been written again since a revision.
@@ -269,7 +298,7 @@
 
         After a StoreError it may have been written. It then goes with its lease.
         """
-        document = _build_write(key, value, lease)
+        document = _build_write(key, value, lease.id)
         document["expected_rev"] = [{"key": key, "revision": 0}]
         return self._write(document, lease, (404, 412))
 
@@ -280,7 +309,7 @@
 
         After a StoreError it may have been written.
         """
-        return self._write(_build_write(key, value, lease), lease, (404,))
+        return self._write(_build_write(key, value, lease.id), lease, (404,))
 
     def _write(
         self,
@@ -428,12 +457,12 @@
     )
 
 
-def _build_write(key: Key, value: bytes, lease: Lease) -> dict[str, object]:
+def _build_write(key: Key, value: bytes, lease: LeaseId) -> dict[str, object]:
     """Return the transaction that writes one key, whatever it held before."""
     text = base64.b64encode(value).decode()
     return {
         "expected_rev": [],
-        "writes": [{"key": key, "value": text, "lease": lease.id}],
+        "writes": [{"key": key, "value": text, "lease": lease}],
         "deletes": [],
     }
 
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -320,9 +320,11 @@
             self._lease_by_key.pop(key, None)
             self.remove(key)
         for row in document["writes"]:
-            if row["lease"] not in self._lease_ends:
-                return "404 Not Found", {}, b""
-            self._lease_by_key[row["key"]] = row["lease"]
+            self._lease_by_key.pop(row["key"], None)
+            if row["lease"]:
+                if row["lease"] not in self._lease_ends:
+                    return "404 Not Found", {}, b""
+                self._lease_by_key[row["key"]] = row["lease"]
             self.put(row["key"], base64.b64decode(row["value"]))
         return self._build_reply({"revision": self.revision})
 
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -95,3 +95,69 @@
     site.send_crashing(gateway_rig.CONTACT_S + 4.0)
     assert len(site.list_runs()) >= CRASHES
     assert site.count_late_runs() <= MAX_LATE_ATTEMPTS
+
+
+def test_crashing_request_is_refused_at_once_and_unsent(site):
+    site.send_crashing(2.0)
+    runs = len(site.list_runs())
+    for host in site.rig.hosts:
+        began_at = time.monotonic()
+        response, _ = host.send_request(crashing_servers.CRASH_PATH, "refused")
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) >= 1.0
+        assert time.monotonic() - began_at < 0.2
+    assert len(site.list_runs()) == runs
+
+
+def test_sound_requests_of_the_service_are_served_meanwhile(site):
+    site.send_crashing(2.0)
+    eventlet.sleep(crashing_servers.RESTART_S)
+    for host in site.rig.hosts:
+        assert site.ask(host, "/single/sound") == 200
+
+
+# Guards against a bound that each host keeps by itself only.
+def test_host_that_starts_later_knows_what_the_others_noted(site):
+    site.send_crashing(2.0)
+    late = site.rig.add_host("front-9")
+    late.start()
+    site.rig.wait_until_ready(late)
+    runs = len(site.list_runs())
+    assert site.ask(late, crashing_servers.CRASH_PATH) == 503
+    assert len(site.list_runs()) == runs
+
+
+def test_notes_that_a_restored_store_lacks_are_written_again(site):
+    copy = site.store.take_copy()
+    site.send_crashing(2.0)
+    site.store.restore(copy)
+    site.rig.wait_until(
+        lambda: any(key.startswith("crashes/") for key in site.store.list_keys())
+    )
+
+
+# Guards against refusing a sound request whose replicas end for other reasons.
+def test_request_whose_replicas_end_for_other_reasons_is_served(site):
+    for server in site.servers:
+        server.ends_with = None
+    for number, host in enumerate(site.rig.hosts):
+        server = site.servers[number]
+        server.delay_s = 0.3
+        asking = eventlet.spawn(site.ask, host, "/single/sound")
+        eventlet.sleep(0.1)
+        server.crash()
+        asking.wait()
+        server.delay_s = 0.0
+    eventlet.sleep(crashing_servers.RESTART_S)
+    for host in site.rig.hosts:
+        assert site.ask(host, "/single/sound") == 200
+
+
+def test_host_without_a_store_sends_a_request_no_more_that_crashed_a_replica(site):
+    site.store.is_down = True
+    eventlet.sleep(gateway_rig.CONFIG_APPLY_S + 0.5)
+    site.send_crashing(3.0)
+    runs = len(site.list_runs())
+    assert runs <= 2 * len(site.rig.hosts)
+    site.send_crashing(1.0)
+    assert len(site.list_runs()) == runs
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -77,6 +77,7 @@
             self.log,
             rng,
             change_history.ChangeHistory(),
+            builders.build_quarantine(),
             batch_delay_s=0.0,
         )
         self.probe = store_probe.StoreProbe(self.watcher, rng)
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -49,6 +49,7 @@
         FakeLog(),
         random.Random(1),
         change_history.ChangeHistory(),
+        builders.build_quarantine(),
     )
     watcher.batch_delay_s = BATCH_DELAY_S
     for _ in counts:
--- a/tests/test_gateway_watched_demand.py
+++ b/tests/test_gateway_watched_demand.py
@@ -58,6 +58,7 @@
         fake_stores.RecordingLog(),
         random.Random(1),
         change_history.ChangeHistory(),
+        builders.build_quarantine(),
         batch_delay_s=0.0,
         min_batch_delay_s=0.0,
     )
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -70,10 +70,14 @@
     return rate_limits.RateLimits(directory, log, metrics.Recorder(), random.Random(1))
 
 
+def build_quarantine():
+    return quarantine.Quarantine(random.Random(1))
+
+
 def build_crash_watch(view, log, clock, check=lambda address, report: None):
     """Return a watch whose check of an address calls nothing, unless told."""
     return crash_watch.CrashWatch(
-        quarantine.Quarantine(random.Random(1)),
+        build_quarantine(),
         view,
         log,
         metrics.Recorder(),
