Share a crash once the request was not cleared by its next attempt

Change: the first arrival's crash is shared after 0.3 s, a second one at once; notes of a request that was cleared meanwhile are withdrawn, also when another host has added to them.

--- a/corianderrill/gateway/crash_notes.py
+++ b/corianderrill/gateway/crash_notes.py
@@ -19,6 +19,7 @@
 
 RETRY_DELAY_S = 0.5
 EXPIRY_CHECK_INTERVAL_S = 1.0
+PUBLISH_CHECK_INTERVAL_S = 0.1
 MAX_WRITE_TRIES = 8
 
 
@@ -51,7 +52,12 @@
     def run(self) -> None:
         """Write and remove notes whenever there is a reason; never returns."""
         while True:
-            with eventlet.Timeout(EXPIRY_CHECK_INTERVAL_S, False):
+            interval_s = (
+                PUBLISH_CHECK_INTERVAL_S
+                if self.quarantine.has_unpublished()
+                else EXPIRY_CHECK_INTERVAL_S
+            )
+            with eventlet.Timeout(interval_s, False):
                 self._news.wait()
             self.step()
 
@@ -75,7 +81,15 @@
     def _withdraw(
         self, fingerprint: quarantine.Fingerprint, revision: view.StoreRevision
     ) -> None:
-        self.client.remove_key(documents.format_crash_key(fingerprint), revision)
+        key = documents.format_crash_key(fingerprint)
+        for _ in range(MAX_WRITE_TRIES):
+            if self.client.remove_key(key, revision):
+                break
+            # Another host has noted a crash that came before the reply.
+            item = self.client.read_key(key)
+            if item is None:
+                break
+            revision = item.revision
         self.quarantine.forget_withdrawn(fingerprint)
         self._record(fingerprint, NotesOutcome.WITHDRAWN)
 
@@ -109,7 +123,8 @@
             value = documents.encode_notes(notes)
             revision = self.client.replace_key(key, value, former)
             if revision is not None:
-                self.quarantine.apply_notes(fingerprint, notes, revision, self.clock())
+                now = self.clock()
+                self.quarantine.record_written(fingerprint, notes, revision, now)
                 return True
             if more_trials:
                 # Another host has claimed it, or noted a crash.
--- a/corianderrill/gateway/quarantine.py
+++ b/corianderrill/gateway/quarantine.py
@@ -37,6 +37,8 @@
 FOREIGN_GRACE_S = 60.0
 # A host keeps at most so many; the oldest are dropped first.
 MAX_RECORDS = 1_000
+# A sound request is mostly cleared by its next attempt before its crash is shared.
+PUBLISH_DELAY_S = 0.3
 # Notes that a restored store lacks are written again after this time.
 REPUBLISH_DELAY_S = 1.0
 
@@ -86,10 +88,13 @@
         """Return whether the request has crashed enough replicas."""
         return (
             len({crash.replica for crash in self.crashes}) >= MAX_CRASHES
-            and len({crash.request_id for crash in self.crashes})
-            >= MAX_CRASHED_ARRIVALS
+            and len(self.list_arrivals()) >= MAX_CRASHED_ARRIVALS
         )
 
+    def list_arrivals(self) -> set[names.RequestId]:
+        """Return the arrivals of the request that crashed a replica."""
+        return {crash.request_id for crash in self.crashes}
+
     def is_expired(self, now: float) -> bool:
         """Return whether nothing was heard of the request for long."""
         lifetime_s = QUARANTINE_S if self.is_over_limit() else SUSPICION_S
@@ -132,9 +137,12 @@
         record = self._get_record(fingerprint, now)
         if crash in record.crashes:
             return False
+        is_first_arrival = not record.crashes or record.list_arrivals() == {
+            crash.request_id
+        }
         record.crashes.add(crash)
         record.changed_at = now
-        record.publish_at = now
+        record.publish_at = now + PUBLISH_DELAY_S if is_first_arrival else now
         record.grace_s = 0.0
         return True
 
@@ -198,6 +206,26 @@
             record.stored = Notes()
             record.revision = view.StoreRevision(0)
 
+    def record_written(
+        self,
+        fingerprint: Fingerprint,
+        notes: Notes,
+        revision: view.StoreRevision,
+        now: float,
+    ) -> None:
+        """Take over notes that this host wrote, or withdraw those of a cleared request.
+
+        A reply may have cleared it while the store was called.
+        """
+        if fingerprint in self._records:
+            self.apply_notes(fingerprint, notes, revision, now)
+        else:
+            self._withdrawn[fingerprint] = revision
+
+    def has_unpublished(self) -> bool:
+        """Return whether the store lacks notes, whenever they are to be written."""
+        return bool(self.list_unpublished(math.inf))
+
     def list_stored(self) -> set[Fingerprint]:
         """Return the requests of which the store is known to hold notes."""
         return {key for key, record in self._records.items() if record.revision}
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -279,17 +279,18 @@
         written = self._decode(_TRANSACTION_DECODER, reply.body)
         return view.StoreRevision(written.revision)
 
-    def remove_key(self, key: Key, revision: view.StoreRevision) -> None:
+    def remove_key(self, key: Key, revision: view.StoreRevision) -> bool:
         """Remove a key, unless it has been written again since a revision.
 
-        This is used in place of ending its lease, whose id may belong to another host.
+        Return whether its last change was at that revision. Keys are removed like this
+        in place of ending their lease, whose id may belong to another host.
         """
         document = {
             "expected_rev": [{"key": key, "revision": revision}],
             "writes": [],
             "deletes": [key],
         }
-        self._call("POST", TRANSACTION_PATH, document, (412,))
+        return self._call("POST", TRANSACTION_PATH, document, (412,)).body is not None
 
     def create_key(
         self, key: Key, value: bytes, lease: Lease
--- a/tests/test_gateway_crash_notes.py
+++ b/tests/test_gateway_crash_notes.py
@@ -36,6 +36,7 @@
     def note(self, replica, arrival):
         crash = quarantine.Crash(replica, names.RequestId(arrival))
         self.quarantine.record_crash(F, crash, self.now)
+        self.now += quarantine.PUBLISH_DELAY_S
 
     def list_outcomes(self):
         return [r.outcome for r in self.log.list_of(event_log.CrashNotesWritten)]
@@ -142,3 +143,31 @@
 def test_invalid_notes_are_an_error(value):
     with pytest.raises(documents.DocumentError):
         documents.decode_notes(KEY, value)
+
+
+# Guards against notes of a request that was cleared while they were written.
+def test_request_that_is_cleared_while_its_notes_are_written_keeps_none(
+    fake_store, hosts
+):
+    replace_key = hosts[0].notes.client.replace_key
+
+    def clear_and_replace(*arguments):
+        hosts[0].quarantine.record_reply(F)
+        return replace_key(*arguments)
+
+    hosts[0].notes.client.replace_key = clear_and_replace
+    hosts[0].note("i-1", "q-1")
+    hosts[0].notes.step()
+    assert KEY not in fake_store.list_keys()
+    assert hosts[0].quarantine.is_empty()
+
+
+def test_reply_outweighs_a_crash_that_another_host_noted_meanwhile(fake_store, hosts):
+    first, second, _ = hosts
+    first.note("i-1", "q-1")
+    first.notes.step()
+    second.note("i-2", "q-2")
+    second.notes.step()
+    first.quarantine.record_reply(F)
+    first.notes.step()
+    assert KEY not in fake_store.list_keys()
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -156,3 +156,12 @@
         known.record_crash(fingerprint, build_crash(1, 1), 1.0)
     verdicts = [known.assess(f, is_store_known=True) for f in fingerprints]
     assert verdicts == [CLEAR, *itertools.repeat(SUSPECTED, quarantine.MAX_RECORDS)]
+
+
+def test_first_crash_is_shared_after_a_delay_and_a_second_arrival_at_once():
+    known = build_quarantine((1, 1), (2, 1), now=10.0)
+    assert known.has_unpublished()
+    assert known.list_unpublished(10.0) == []
+    assert known.list_unpublished(10.0 + quarantine.PUBLISH_DELAY_S) == [F]
+    known.record_crash(F, build_crash(3, 2), 10.1)
+    assert known.list_unpublished(10.1) == [F]
