Move hedge timing and attempt records out of the coordinator

No decision changes, but that an attempt in place of a lost delegation of a suspected request is not sent.

--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -10,16 +10,17 @@
 import dataclasses
 import enum
 import itertools
-import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
+    attempt_records,
     attempts,
     connections,
     delegation,
     delegation_messages,
     event_log,
+    hedge_timing,
     limit_plan,
     quarantine,
     replica_selector,
@@ -43,22 +44,10 @@
 # Pending replies are still read and recorded for this long after the outcome of an
 # idempotent request, or after the deadline of an at-most-once request.
 LATE_REPLY_TIMEOUT_S = 0.3
-# The timer checks for due hedges at most this often.
-MIN_HEDGE_CHECK_INTERVAL_S = 0.006
-# A last-chance hedge is sent before the hedge delay, while it can still meet the goal:
-# at the earliest this many expected latencies before the goal.
-LAST_CHANCE_HEDGE_LEAD_FACTOR = 1.4
-# While last-chance hedges may be sent, the timer checks for them at this interval.
-LAST_CHANCE_HEDGE_CHECK_INTERVAL_S = 0.01
-# If a larger share of the parts is missing at the time of the last-chance hedge, the
-# cause is not a few slow replicas, and hedges wait for the hedge delay.
-MAX_LAST_CHANCE_HEDGE_PENDING_SHARE = 0.15
 # An attempt that could not be sent is replaced at no cost to the retry budget while
 # its sub-request has at most this many attempts.
 MAX_ATTEMPTS_FOR_UNSENT_RETRY = 3
 HEDGE_REASON = "hedge"
-# An attempt without a reply after this many hedge delays is reported as overdue.
-OVERDUE_HEDGE_DELAYS = 2.0
 # Used for a service that the configuration does not list.
 DEFAULT_MAX_CONNECTIONS = 16
 
@@ -163,7 +152,12 @@
         self._selector = replica_selector.ReplicaSelector(
             shared, route.max_attempts, self._latency_estimator
         )
-        self._last_chance_hedge_at = -math.inf
+        self._hedge_timing = hedge_timing.HedgeTiming(
+            self.sub_requests,
+            self.goal_at,
+            route.max_attempts,
+            self._latency_estimator,
+        )
         self._timer = None
         configuration = shared.view.configuration
         self.version = configuration.version
@@ -179,10 +173,7 @@
             self._refuse_quarantined(now)
             return
         self._latency_estimator.refresh(now)
-        lead_s = (
-            LAST_CHANCE_HEDGE_LEAD_FACTOR * self._latency_estimator.expected_latency_s
-        )
-        self._last_chance_hedge_at = self.goal_at - lead_s
+        self._hedge_timing.start()
         groups = self._plan_delegations(now)
         delegated = {s for group in groups for s in group.sub_requests}
         direct = [s for s in self.sub_requests if s not in delegated]
@@ -453,11 +444,14 @@
         a query and hears nothing sends its own. And a request that has crashed replicas
         gets no second attempt. What a replica refused is no attempt in this sense.
         """
-        if not any(attempt.may_have_executed() for attempt in sub_request.attempts):
-            return True
+        was_sent = any(a.may_have_executed() for a in sub_request.attempts)
         verdict = self.shared.crash_watch.assess(self.request)
-        if verdict is not quarantine.Verdict.CLEAR:
+        if verdict is not quarantine.Verdict.CLEAR and (
+            was_sent or sub_request.lost_delegations
+        ):
             return False
+        if not was_sent:
+            return True
         return now >= self._repeat_from and self._is_caller_connected()
 
     # Handling the end of an attempt.
@@ -492,7 +486,9 @@
             self.shared.zone_detector.record_reply(
                 attempt.replica.registration.zone, now
             )
-        self._record_attempt_outcome(attempt, outcome, now)
+        attempt_records.record_outcome(attempt, outcome, self._latency_estimator, now)
+        if outcome is replies.AttemptOutcome.UNSENT:
+            self._release_limit(attempt, now)
         if outcome in _OUTCOMES_OF_COMPLETE_RUNS:
             self._record_complete_run()
         if self.outcome is not None:
@@ -512,28 +508,6 @@
     def _has_reply(self) -> bool:
         return self._was_run
 
-    def _record_attempt_outcome(
-        self, attempt: attempts.Attempt, outcome: replies.AttemptOutcome, now: float
-    ) -> None:
-        replica = attempt.replica
-        match outcome:
-            case replies.AttemptOutcome.SUCCESS:
-                latency_s = now - (attempt.sent_at or attempt.started_at)
-                ratio = latency_s / self._latency_estimator.expected_latency_s
-                replica.record_success(attempt, ratio, now)
-                attempt.pool.record_latency(ratio)
-                self._latency_estimator.record(latency_s)
-            case replies.AttemptOutcome.ERROR_REPLY | replies.AttemptOutcome.UNUSABLE:
-                replica.record_failure(attempt, now)
-            case replies.AttemptOutcome.NOT_EXECUTED:
-                replica.record_refusal(attempt, now)
-                attempt.pool.record_refusal()
-            case replies.AttemptOutcome.MISDIRECTED:
-                replica.record_replaced(attempt)
-            case replies.AttemptOutcome.UNSENT:
-                replica.record_connect_failure(attempt, now)
-                self._release_limit(attempt, now)
-
     def _update_sub_request(
         self,
         sub_request: attempts.SubRequest,
@@ -581,10 +555,12 @@
             return True
         return self.is_idempotent
 
-    # Timer and hedges.
+    # Timer.
 
     def _set_timer(self, now: float) -> None:
-        due_at = min(self._compute_next_hedge_check_at(now), self.deadline_at)
+        due_at = self.deadline_at
+        if self._can_hedge:
+            due_at = min(due_at, self._hedge_timing.compute_next_check_at(now))
         if now < self.goal_at:
             due_at = min(due_at, self.goal_at)
         elif now < self.late_answer_at:
@@ -592,56 +568,17 @@
         delay_s = max(due_at - now, 0.0)
         self._timer = self.loop.call_later(delay_s, self._handle_timer)
 
-    def _compute_next_hedge_check_at(self, now: float) -> float:
-        if not self._can_hedge:
-            return math.inf
-        due_times = [
-            sub_request.attempts[-1].started_at + self._latency_estimator.hedge_delay_s
-            for sub_request in self._list_hedgeable()
-        ]
-        if not due_times:
-            return math.inf
-        if now < self.goal_at:
-            due_times.append(
-                max(
-                    self._last_chance_hedge_at, now + LAST_CHANCE_HEDGE_CHECK_INTERVAL_S
-                )
-            )
-        return max(min(due_times), now + MIN_HEDGE_CHECK_INTERVAL_S)
-
-    def _list_hedgeable(self) -> list[attempts.SubRequest]:
-        return [
-            sub_request
-            for sub_request in self.sub_requests
-            if not sub_request.is_done
-            and sub_request.attempts
-            and sub_request.count_attempted_replicas() < self.route.max_attempts
-        ]
-
     def _handle_timer(self) -> None:
         if self.outcome is not None:
             return
         now = self.loop.now()
         if self._can_hedge:
-            self._send_due_hedges(now)
+            for sub_request, waited_s in self._hedge_timing.list_due(now):
+                self._send_extra_attempt(sub_request, HEDGE_REASON, waited_s, now)
         self._finish_if_decided(now)
         if self.outcome is None:
             self._set_timer(now)
 
-    def _send_due_hedges(self, now: float) -> None:
-        pending = self._list_hedgeable()
-        max_pending = max(
-            1.0, MAX_LAST_CHANCE_HEDGE_PENDING_SHARE * len(self.sub_requests)
-        )
-        is_last_chance = (
-            self._last_chance_hedge_at <= now < self.goal_at
-            and len(pending) <= max_pending
-        )
-        for sub_request in pending:
-            waited_s = now - sub_request.attempts[-1].started_at
-            if is_last_chance or waited_s >= self._latency_estimator.hedge_delay_s:
-                self._send_extra_attempt(sub_request, HEDGE_REASON, waited_s, now)
-
     # Deciding the outcome.
 
     def _finish_if_decided(self, now: float) -> None:
@@ -726,7 +663,9 @@
         self._withdraw_unsent(pending)
         self._end_delegations(outcome)
         sent = [attempt for attempt in pending if attempt.sent_at is not None]
-        self._record_overdue_attempts(pending)
+        attempt_records.record_overdue(
+            pending, self.shared, self._latency_estimator, self.loop.now()
+        )
         if (
             sent
             and outcome is RequestOutcome.CALLER_DISCONNECTED
@@ -763,21 +702,6 @@
             attempt.used_limit = False
             self.shared.rate_limits.release(attempt.replica, now)
 
-    def _record_overdue_attempts(self, pending: list[attempts.Attempt]) -> None:
-        """Report overdue attempts, connected or not, to the zone failure detector."""
-        now = self.loop.now()
-        overdue_after_s = OVERDUE_HEDGE_DELAYS * self._latency_estimator.hedge_delay_s
-        for attempt in pending:
-            if now - attempt.started_at < overdue_after_s:
-                continue
-            zone = attempt.replica.registration.zone
-            if self.shared.zone_detector.record_overdue_attempt(
-                zone, attempt.started_at, now
-            ):
-                self.shared.log.record(
-                    event_log.ZoneSuspected(zone, attempt.replica.id)
-                )
-
     def _compute_non_idempotent_read_timeout_s(self) -> float:
         return max(self.deadline_at - self.loop.now(), 0.0) + LATE_REPLY_TIMEOUT_S
 
@@ -788,14 +712,9 @@
         attempt.cancel()
 
     def _cancel_unanswered(self, pending: list[attempts.Attempt]) -> None:
-        """Cancel attempts without a reply; record their age as the replica's latency.
-
-        The ages are not samples of the route's latency estimator.
-        """
+        """Cancel the attempts that are still without a reply."""
         now = self.loop.now()
         for attempt in pending:
-            if attempt.ended_at is not None:
-                continue
-            ratio = (now - attempt.sent_at) / self._latency_estimator.expected_latency_s
-            attempt.replica.record_timeout(attempt, ratio, now)
-            self._cancel(attempt, "given-up")
+            if attempt.ended_at is None:
+                attempt_records.record_unanswered(attempt, self._latency_estimator, now)
+                self._cancel(attempt, "given-up")
