Move what the store's keys change out of the store watcher

One decision changes: a probe in an outage whose reply is from before a restore, since it may be stale, does not prolong the outage.

--- /dev/null
+++ b/corianderrill/gateway/store_changes.py
@@ -0,0 +1,232 @@
+"""Applies the keys of the platform's store to what a host knows.
+
+Keys that cannot be decoded are skipped with a line in the log; what was known stays.
+"""
+
+import dataclasses
+from collections.abc import Collection, Iterable
+
+from corianderrill.gateway import (
+    aggregators,
+    demand_reporter,
+    event_log,
+    quarantine,
+    rate_limits,
+    view,
+)
+from corianderrill.platform import documents, store
+
+
+@dataclasses.dataclass(slots=True)
+class StoreChanges:
+    """What a host learns from the store; all revisions are of one `era`.
+
+    Times are in seconds of the host's monotonic clock.
+    """
+
+    view: view.View
+    aggregators: aggregators.AggregatorDirectory
+    limits: rate_limits.RateLimits
+    quarantine: quarantine.Quarantine
+    log: event_log.EventLog
+    era: view.StoreEra = view.StoreEra(0)
+
+    def enter_era(self, era: view.StoreEra, now: float) -> None:
+        """Take any revision for a new one, since the store counts them anew."""
+        self.era = era
+        self.quarantine.enter_era(now)
+        self.view.enter_era(now)
+        self.aggregators.enter_era()
+        self.limits.directory.enter_era()
+
+    def apply(self, items: Iterable[store.Item], now: float) -> None:
+        """Apply items as they were written, or their removal."""
+        for item in items:
+            if item.key == documents.CONFIGURATION_KEY:
+                self._apply_configuration(item)
+            elif item.key.startswith(documents.SERVER_KEY_PREFIX):
+                self._apply_registration_item(item, now)
+            elif item.key.startswith(documents.AGGREGATOR_KEY_PREFIX):
+                self._apply_aggregator_item(item)
+            elif item.key.startswith(documents.DEMAND_KEY_PREFIX):
+                self._apply_demand_item(item, now)
+            elif item.key.startswith(documents.CRASH_KEY_PREFIX):
+                self._apply_crash_item(item, now)
+
+    def _apply_crash_item(self, item: store.Item, now: float) -> None:
+        try:
+            notes = (
+                None
+                if item.value is None
+                else documents.decode_notes(item.key, item.value)
+            )
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        self._apply_notes(
+            documents.parse_crash_key(item.key), notes, item.revision, now
+        )
+
+    def _apply_notes(
+        self,
+        fingerprint: quarantine.Fingerprint,
+        notes: quarantine.Notes | None,
+        revision: view.StoreRevision,
+        now: float,
+    ) -> None:
+        if not self.quarantine.apply_notes(fingerprint, notes, revision, now):
+            return
+        self.log.record(
+            event_log.CrashNotesSeen(
+                fingerprint=fingerprint,
+                crashes=0 if notes is None else len(notes.crashes),
+                trials=0 if notes is None else notes.trials,
+                verdict=self.quarantine.assess(fingerprint, True).value,
+                revision=revision,
+                era=self.era,
+            )
+        )
+
+    def _apply_demand_item(self, item: store.Item, now: float) -> None:
+        host = documents.parse_demand_key(item.key)
+        try:
+            report = (
+                None
+                if item.value is None
+                else documents.decode_demand(item.key, item.value)
+            )
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        self.limits.apply_report(host, report, item.revision, now)
+
+    def _apply_aggregator_item(self, item: store.Item) -> None:
+        try:
+            key = documents.parse_aggregator_key(item.key)
+            holder = (
+                None
+                if item.value is None
+                else documents.decode_aggregator(item.key, item.value)
+            )
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        if self.aggregators.apply(key, holder, item.revision):
+            self.log.record(
+                event_log.AggregatorSeen(
+                    key.zone,
+                    key.slot,
+                    "" if holder is None else holder.host,
+                    item.revision,
+                    self.era,
+                )
+            )
+
+    def _apply_configuration(self, item: store.Item) -> None:
+        if item.value is None:
+            self._record_skipped_item(
+                item, "removed; the last configuration stays in force"
+            )
+            return
+        try:
+            configuration = documents.decode_configuration(item.value)
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        before = self.view.configuration
+        outcome = self.view.apply_configuration(configuration)
+        self.log.record(
+            event_log.ConfigurationSeen(
+                version=configuration.version,
+                revision=item.revision,
+                before=None if before is None else before.version,
+                outcome=outcome.value,
+                era=self.era,
+            )
+        )
+
+    def _apply_registration_item(self, item: store.Item, now: float) -> None:
+        replica_id = documents.parse_replica_id(item.key)
+        if item.value is None:
+            self._remove_replica(replica_id, item.revision, now)
+            return
+        try:
+            registration = documents.decode_registration(item.key, item.value)
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            self._remove_replica(replica_id, item.revision, now)
+            return
+        outcome = self.view.apply_registration(registration, item.revision, now)
+        self.log.record(
+            event_log.ReplicaSeen(
+                replica=replica_id,
+                service=registration.service,
+                state=registration.state.value,
+                revision=item.revision,
+                outcome=outcome.value,
+                era=self.era,
+            )
+        )
+
+    def _remove_replica(
+        self,
+        replica_id: str,
+        revision: view.StoreRevision,
+        now: float,
+    ) -> None:
+        outcome = self.view.apply_removal(replica_id, revision, now)
+        self.log.record(
+            event_log.ReplicaSeen(
+                replica_id, "", "removed", revision, outcome.value, self.era
+            )
+        )
+
+    def _record_skipped_item(self, item: store.Item, reason: str) -> None:
+        self.log.record(
+            event_log.EntrySkipped(item.key, item.revision, reason[:300], self.era)
+        )
+
+    def remove_unlisted(
+        self,
+        items: Collection[store.Item],
+        revision: view.StoreRevision,
+        now: float,
+        is_restored: bool,
+    ) -> None:
+        """Remove what is known and has no key among `items`, which are all keys.
+
+        If the store `is_restored` from an older copy, it may lack keys that are to be
+        written again.
+        """
+        listed_ids = {
+            documents.parse_replica_id(item.key)
+            for item in items
+            if item.key.startswith(documents.SERVER_KEY_PREFIX)
+        }
+        for replica_id in self.view.list_replica_ids() - listed_ids:
+            self._remove_replica(replica_id, revision, now)
+        listed_keys = {item.key for item in items}
+        for host in self.limits.directory.list_hosts():
+            if documents.format_demand_key(host) in listed_keys:
+                continue
+            if is_restored:
+                lapse_at = now + demand_reporter.LEASE_TTL_S
+                self.limits.directory.keep_until(host, lapse_at)
+            else:
+                self.limits.apply_report(host, None, revision, now)
+        for fingerprint in self.quarantine.list_stored():
+            if documents.format_crash_key(fingerprint) not in listed_keys:
+                self._apply_notes(fingerprint, None, revision, now)
+        for key in self.aggregators.list_keys():
+            if documents.format_aggregator_key(key) not in listed_keys:
+                self.aggregators.apply(key, None, revision)
+
+    def drop_expired(self, revision: view.StoreRevision, now: float) -> None:
+        """Drop the replicas whose fallback time has expired, and lapsed reports."""
+        self.limits.directory.drop_lapsed(now)
+        for replica_id in self.view.drop_expired(now):
+            self.log.record(
+                event_log.ReplicaSeen(
+                    replica_id, "", "gone", revision, "dropped", self.era
+                )
+            )
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -20,15 +20,15 @@
 from corianderrill.gateway import (
     aggregators,
     change_history,
-    demand_reporter,
     event_log,
     loop,
     pools,
     quarantine,
     rate_limits,
+    store_changes,
     view,
 )
-from corianderrill.platform import documents, store
+from corianderrill.platform import store
 
 WATCH_WAIT_S = 25.0
 # A short first watch after a failure detects early that the store has recovered.
@@ -82,18 +82,26 @@
     min_batch_delay_s: float = 0.5
     clock: Callable[[], float] = loop.read_clock
     revision: view.StoreRevision = view.StoreRevision(0)
-    era: view.StoreEra = view.StoreEra(0)
     outage_started_at: float | None = None
     last_reply_at: float = 0.0
     watching_since: float | None = None
     watched_client: store.StoreClient | None = None
     _consecutive_failures: int = 0
     _watch_thread: greenthread.GreenThread | None = None
+    _changes: store_changes.StoreChanges = dataclasses.field(init=False)
     _relay_clients: dict[names.Address, store.StoreClient] = dataclasses.field(
         default_factory=dict
     )
 
+    @property
+    def era(self) -> view.StoreEra:
+        """The era of `revision`."""
+        return self._changes.era
+
     def __post_init__(self) -> None:
+        self._changes = store_changes.StoreChanges(
+            self.view, self.aggregators, self.limits, self.quarantine, self.log
+        )
         self.last_reply_at = self.clock()
 
     def set_batch_delay(self, max_apply_delay_s: float, host_count: float) -> None:
@@ -146,29 +154,8 @@
             items += batch.items
         now = self.clock()
         is_restored = self._enter_era(era, now)
-        self._apply_items(items, now)
-        listed_ids = {
-            documents.parse_replica_id(item.key)
-            for item in items
-            if item.key.startswith(documents.SERVER_KEY_PREFIX)
-        }
-        for replica_id in self.view.list_replica_ids() - listed_ids:
-            self._remove_replica(replica_id, oldest_revision, now)
-        listed_keys = {item.key for item in items}
-        for host in self.limits.directory.list_hosts():
-            if documents.format_demand_key(host) in listed_keys:
-                continue
-            if is_restored:
-                lapse_at = now + demand_reporter.LEASE_TTL_S
-                self.limits.directory.keep_until(host, lapse_at)
-            else:
-                self.limits.apply_report(host, None, oldest_revision, now)
-        for fingerprint in self.quarantine.list_stored():
-            if documents.format_crash_key(fingerprint) not in listed_keys:
-                self._apply_notes(fingerprint, None, oldest_revision, now)
-        for key in self.aggregators.list_keys():
-            if documents.format_aggregator_key(key) not in listed_keys:
-                self.aggregators.apply(key, None, oldest_revision)
+        self._changes.apply(items, now)
+        self._changes.remove_unlisted(items, oldest_revision, now, is_restored)
         self.revision = oldest_revision
         self.history.restart(oldest_revision, era)
         self._retain_pools()
@@ -202,8 +189,10 @@
     def _watch_store(self) -> None:
         wait_s = WATCH_WAIT_S
         if self.outage_started_at is not None:
-            # A probe is cheaper than a watch that fails.
-            self._check_era(self.client.probe_revision().era)
+            # A probe is cheaper than a watch that fails. Its reply may be old.
+            era = self.client.probe_revision().era
+            if era > self.era:
+                raise _describe_era(era, self.era)
             wait_s = WATCH_WAIT_AFTER_FAILURE_S
         batch = self._wait_for_changes(self.client, wait_s)
         self._apply_batch(batch)
@@ -216,7 +205,7 @@
         self._record_success(is_current=True)
         now = self.clock()
         self.view.distrust_removals(now + batch.removals_untrusted_s)
-        self._apply_items(batch.items, now)
+        self._changes.apply(batch.items, now)
         self.revision = view.StoreRevision(max(self.revision, batch.revision))
         self.history.append(batch.items, self.revision)
         if batch.items:
@@ -298,11 +287,7 @@
             self.log.record(event_log.StoreRestored(era, self.era, self.revision))
             # Entries that were written since the copy are written again.
             self.view.record_store_recovery(now)
-        self.quarantine.enter_era(now)
-        self.view.enter_era(now)
-        self.aggregators.enter_era()
-        self.limits.directory.enter_era()
-        self.era = era
+        self._changes.enter_era(era, now)
         return is_restored
 
     def _handle_failure(self, error: store.StoreError) -> None:
@@ -327,164 +312,12 @@
         self._consecutive_failures = min(self._consecutive_failures + 1, 8)
         eventlet.sleep(backoff_s * (0.5 + self.rng.random()))
 
-    def _apply_items(self, items: list[store.Item], now: float) -> None:
-        for item in items:
-            if item.key == documents.CONFIGURATION_KEY:
-                self._apply_configuration(item)
-            elif item.key.startswith(documents.SERVER_KEY_PREFIX):
-                self._apply_registration_item(item, now)
-            elif item.key.startswith(documents.AGGREGATOR_KEY_PREFIX):
-                self._apply_aggregator_item(item)
-            elif item.key.startswith(documents.DEMAND_KEY_PREFIX):
-                self._apply_demand_item(item, now)
-            elif item.key.startswith(documents.CRASH_KEY_PREFIX):
-                self._apply_crash_item(item, now)
-
-    def _apply_crash_item(self, item: store.Item, now: float) -> None:
-        try:
-            notes = (
-                None
-                if item.value is None
-                else documents.decode_notes(item.key, item.value)
-            )
-        except documents.DocumentError as error:
-            self._record_skipped_item(item, str(error))
-            return
-        self._apply_notes(
-            documents.parse_crash_key(item.key), notes, item.revision, now
-        )
-
-    def _apply_notes(
-        self,
-        fingerprint: quarantine.Fingerprint,
-        notes: quarantine.Notes | None,
-        revision: view.StoreRevision,
-        now: float,
-    ) -> None:
-        if not self.quarantine.apply_notes(fingerprint, notes, revision, now):
-            return
-        self.log.record(
-            event_log.CrashNotesSeen(
-                fingerprint=fingerprint,
-                crashes=0 if notes is None else len(notes.crashes),
-                trials=0 if notes is None else notes.trials,
-                verdict=self.quarantine.assess(fingerprint, True).value,
-                revision=revision,
-                era=self.era,
-            )
-        )
-
-    def _apply_demand_item(self, item: store.Item, now: float) -> None:
-        host = documents.parse_demand_key(item.key)
-        try:
-            report = (
-                None
-                if item.value is None
-                else documents.decode_demand(item.key, item.value)
-            )
-        except documents.DocumentError as error:
-            self._record_skipped_item(item, str(error))
-            return
-        self.limits.apply_report(host, report, item.revision, now)
-
-    def _apply_aggregator_item(self, item: store.Item) -> None:
-        try:
-            key = documents.parse_aggregator_key(item.key)
-            holder = (
-                None
-                if item.value is None
-                else documents.decode_aggregator(item.key, item.value)
-            )
-        except documents.DocumentError as error:
-            self._record_skipped_item(item, str(error))
-            return
-        if self.aggregators.apply(key, holder, item.revision):
-            self.log.record(
-                event_log.AggregatorSeen(
-                    key.zone,
-                    key.slot,
-                    "" if holder is None else holder.host,
-                    item.revision,
-                    self.era,
-                )
-            )
-
-    def _apply_configuration(self, item: store.Item) -> None:
-        if item.value is None:
-            self._record_skipped_item(
-                item, "removed; the last configuration stays in force"
-            )
-            return
-        try:
-            configuration = documents.decode_configuration(item.value)
-        except documents.DocumentError as error:
-            self._record_skipped_item(item, str(error))
-            return
-        before = self.view.configuration
-        outcome = self.view.apply_configuration(configuration)
-        self.log.record(
-            event_log.ConfigurationSeen(
-                version=configuration.version,
-                revision=item.revision,
-                before=None if before is None else before.version,
-                outcome=outcome.value,
-                era=self.era,
-            )
-        )
-
-    def _apply_registration_item(self, item: store.Item, now: float) -> None:
-        replica_id = documents.parse_replica_id(item.key)
-        if item.value is None:
-            self._remove_replica(replica_id, item.revision, now)
-            return
-        try:
-            registration = documents.decode_registration(item.key, item.value)
-        except documents.DocumentError as error:
-            self._record_skipped_item(item, str(error))
-            self._remove_replica(replica_id, item.revision, now)
-            return
-        outcome = self.view.apply_registration(registration, item.revision, now)
-        self.log.record(
-            event_log.ReplicaSeen(
-                replica=replica_id,
-                service=registration.service,
-                state=registration.state.value,
-                revision=item.revision,
-                outcome=outcome.value,
-                era=self.era,
-            )
-        )
-
-    def _remove_replica(
-        self,
-        replica_id: str,
-        revision: view.StoreRevision,
-        now: float,
-    ) -> None:
-        outcome = self.view.apply_removal(replica_id, revision, now)
-        self.log.record(
-            event_log.ReplicaSeen(
-                replica_id, "", "removed", revision, outcome.value, self.era
-            )
-        )
-
-    def _record_skipped_item(self, item: store.Item, reason: str) -> None:
-        self.log.record(
-            event_log.EntrySkipped(item.key, item.revision, reason[:300], self.era)
-        )
-
     def _retain_pools(self) -> None:
         self.pools.retain(self.view.list_addresses())
 
     def drop_expired(self) -> None:
-        """Drop the replicas whose fallback time has expired, and lapsed reports."""
-        self.limits.directory.drop_lapsed(self.clock())
-        for replica_id in self.view.drop_expired(self.clock()):
-            self.log.record(
-                event_log.ReplicaSeen(
-                    replica_id, "", "gone", self.revision, "dropped", self.era
-                )
-            )
+        """Drop what was kept for a limited time after it left the store."""
+        self._changes.drop_expired(self.revision, self.clock())
 
 
 def _describe_era(era: view.StoreEra, expected: view.StoreEra) -> store.StoreError:
