Play a restored store and a crashing request in the soak

Two kinds of faults: the store goes back to a copy of some seconds ago while the operator and the replicas write again, and a caller repeats a booking that ends each replica that runs it. One check: it ends hardly any 4 s after the third. Servers now register with a count of their writes and their start.

--- a/benchmarks/gateways/callers.py
+++ b/benchmarks/gateways/callers.py
@@ -83,6 +83,8 @@
         self._rng = rng
         self._kept: dict[records.HostName, http.client.HTTPConnection] = {}
         self.leaves_early = False
+        # If set, it asks for bookings with this body only.
+        self.body: bytes | None = None
 
     def run(self, gap_s: float, until: float) -> None:
         """Ask until then, with random gaps of this mean."""
@@ -95,7 +97,7 @@
                 self._ask(self._rng.choice(doors))
 
     def _ask(self, door: Door) -> None:
-        is_booking = self._rng.random() < BOOKING_SHARE
+        is_booking = self.body is not None or self._rng.random() < BOOKING_SHARE
         kind = records.Kind.BOOKING if is_booking else records.Kind.QUERY
         asked = records.Asked(
             records.RequestId(f"q{next(self._numbers):06}"),
@@ -143,7 +145,7 @@
             case records.Kind.QUERY:
                 connection.request("GET", "/sweep/x", headers=headers)
             case records.Kind.BOOKING:
-                body = f"booking {asked.id}".encode()
+                body = self.body or f"booking {asked.id}".encode()
                 connection.request("POST", "/desk/x", body=body, headers=headers)
         asked.sent_at = time.monotonic()
         if leaves:
--- a/benchmarks/gateways/checks.py
+++ b/benchmarks/gateways/checks.py
@@ -31,6 +31,10 @@
 # The limit binds so long after it was named, for hosts that were told a moment before.
 LIMIT_CONTACT_S = 4.0
 TOLD_BEFORE_S = 0.5
+# A request that has ended so many servers ends hardly any more, this long after.
+CRASHES = 3
+CRASH_CONTACT_S = 4.0
+CRASHES_AT_MOST = 3
 LATE_AFTER_S = 0.5
 GONE_AFTER_S = 0.5
 GONE_AT_MOST = 3
@@ -319,6 +323,27 @@
             told_at.setdefault(host, arrival.limited_at)
 
 
+def check_crashes(evidence: Evidence) -> Iterator[Broken]:
+    """A request under which servers ended is soon sent to hardly any more."""
+    by_body = collections.defaultdict(list)
+    for crashed in evidence.history.crashed:
+        by_body[crashed.body].append(crashed)
+    for body, runs in by_body.items():
+        runs.sort(key=lambda run: run.at)
+        if len(runs) <= CRASHES:
+            continue
+        since = runs[CRASHES - 1].at + CRASH_CONTACT_S
+        late = [
+            run
+            for run in runs
+            if run.at > since
+            and evidence.is_in_touch(evidence.by_id[run.request].host, run.at)
+        ]
+        if len(late) > CRASHES_AT_MOST:
+            detail = f"{body.decode()}: {len(late)} more of {len(runs)} in all"
+            yield Broken("crashes", late[0].at, detail)
+
+
 def check_losses(evidence: Evidence) -> Iterator[Broken]:
     """A host that ends on SIGTERM loses no request that it has read."""
     for told in evidence.history.told:
@@ -401,6 +426,7 @@
     check_routes,
     check_draining,
     check_limits,
+    check_crashes,
     check_losses,
     check_deadlines,
     check_leaving,
--- a/benchmarks/gateways/faults.py
+++ b/benchmarks/gateways/faults.py
@@ -45,6 +45,8 @@
     STORE_MUTED = "store-muted"
     REPLICA_MUTED = "replica-muted"
     REPLICA_LIMITED = "replica-limited"
+    STORE_RESTORED = "store-restored"
+    CRASHING_REQUEST = "crashing-request"
 
 
 # Shares of the run.
@@ -53,8 +55,11 @@
 MEAN_GAP_S = 0.8
 SHORTEST_S = 0.2
 LONGEST_S = 4.0
-# A limit binds only some seconds after it was named.
-SPANS_S = {Kind.REPLICA_LIMITED: (6.0, 14.0)}
+# Their bounds begin only some seconds after they did.
+SPANS_S = {
+    Kind.REPLICA_LIMITED: (6.0, 14.0),
+    Kind.CRASHING_REQUEST: (8.0, 14.0),
+}
 SERIES_CHANCE = 0.25
 SERIES_LENGTHS = (2, 3, 4)
 SERIES_GAP_S = 0.6
--- a/benchmarks/gateways/links.py
+++ b/benchmarks/gateways/links.py
@@ -22,6 +22,7 @@
     OPEN = "open"
     DELAYED = "delayed"
     RESET = "reset"
+    REFUSED = "refused"
     FORTH_LOST = "forth-lost"
     BACK_LOST = "back-lost"
     SILENT = "silent"
@@ -54,9 +55,16 @@
         return self._modes[-1] if self._modes else Mode.OPEN
 
     def begin(self, mode: Mode) -> None:
-        """Treat connections so from now on; a reset ends those that are open."""
+        """Treat connections so from now on.
+
+        A reset ends those that are open, and so does a refusal, as the end of a process
+        does. It is begun once at a time.
+        """
         self._modes.append(mode)
-        if mode is Mode.RESET:
+        if mode is Mode.REFUSED:
+            self._thread.kill()
+            self._listener.close()
+        if mode in (Mode.RESET, Mode.REFUSED):
             for session in list(self._sessions):
                 session.reset()
         if mode is Mode.MUTED:
@@ -66,6 +74,11 @@
     def end(self, mode: Mode) -> None:
         """End what was begun; others may go on."""
         self._modes.remove(mode)
+        if mode is Mode.REFUSED:
+            self._listener = eventlet.listen(
+                (self.address.ip, self.address.port), backlog=512
+            )
+            self._thread = eventlet.spawn(self._accept)
 
     def stop(self) -> None:
         """Pass nothing on any more."""
--- a/benchmarks/gateways/records.py
+++ b/benchmarks/gateways/records.py
@@ -128,6 +128,15 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crashed:
+    """A replica ended while it ran a request; `body` is that of all its repetitions."""
+
+    body: bytes
+    request: RequestId
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Told:
     """SIGTERM was sent to a host, which ended at `ended_at` with `status`."""
@@ -167,6 +176,7 @@
     disturbed: list[Disturbed] = dataclasses.field(default_factory=list)
     held: list[Held] = dataclasses.field(default_factory=list)
     limited: list[Limited] = dataclasses.field(default_factory=list)
+    crashed: list[Crashed] = dataclasses.field(default_factory=list)
     told: list[Told] = dataclasses.field(default_factory=list)
     vanished: list[Vanished] = dataclasses.field(default_factory=list)
     started: list[Started] = dataclasses.field(default_factory=list)
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -1,5 +1,6 @@
 """The rig of a soak: a store, backend servers, gateways, callers; and its faults."""
 
+import collections
 import dataclasses
 import functools
 import itertools
@@ -31,6 +32,12 @@
 RETURN_S = 1.8
 # A server that drains stays a little longer than it has to.
 STAY_S = checks.DRAIN_S + 2.0
+# A restored store goes back by so much.
+COPY_AGE_S = 5.0
+COPY_EVERY_S = 0.5
+# A server that a request has ended is back after this time.
+CRASHED_S = 1.5
+CRASHING_GAP_S = 0.3
 LAG_STEP_S = 0.05
 # A driver that is held up for longer cannot tell what the hosts did.
 LAG_AT_MOST_S = 0.1
@@ -87,6 +94,7 @@
     callers: int = 16
     per_s: float = 30.0
     has_aggregators: bool = False
+    desk_replicas: int = REPLICAS_A_DESK
 
 
 class Rig:
@@ -105,6 +113,9 @@
             size.has_aggregators,
         )
         self.store = platform.FakeStore()
+        self._copies: collections.deque[object] = collections.deque(
+            maxlen=round(COPY_AGE_S / COPY_EVERY_S)
+        )
         self._version = 0
         self._garbage = itertools.count(1)
         self._busy = 0
@@ -112,7 +123,7 @@
             self._build_server(service, number)
             for service, count in (
                 *((shard, REPLICAS_A_SHARD) for shard in self.setting.shards),
-                *((desk, REPLICAS_A_DESK) for desk in DESKS),
+                *((desk, size.desk_replicas) for desk in DESKS),
             )
             for number in range(count)
         ]
@@ -133,7 +144,9 @@
 
     def _build_server(self, service: str, number: int) -> servers.Server:
         zone = hosts.ZONES[number % len(hosts.ZONES)]
-        return servers.Server(service, zone, self.history, self._rng)
+        server = servers.Server(service, zone, self.history, self._rng)
+        server.on_crash = self._crash_for_a_while
+        return server
 
     def run(self, seconds: float, plan: tuple[faults.Fault, ...]) -> None:
         """Start everything, ask and disturb, and stop."""
@@ -145,7 +158,11 @@
         for host in self._hosts:
             host.wait_ready()
         began_at = self.history.began_at = time.monotonic()
-        background = [eventlet.spawn(self._watch), eventlet.spawn(self._measure_lag)]
+        background = [
+            eventlet.spawn(self._watch),
+            eventlet.spawn(self._measure_lag),
+            eventlet.spawn(self._copy_store),
+        ]
         asking = self._start_callers(began_at + seconds)
         for fault in plan:
             eventlet.sleep(max(0.0, began_at + fault.since_s - time.monotonic()))
@@ -225,6 +242,7 @@
                 return self._begin_host(kind, host, since) if host.is_up else None
             case (
                 faults.Kind.STORE_BUSY
+                | faults.Kind.STORE_RESTORED
                 | faults.Kind.STORE_LAPSED
                 | faults.Kind.STORE_FORGETFUL
                 | faults.Kind.STORE_GARBAGE
@@ -234,6 +252,8 @@
                 return self._publish
             case faults.Kind.CALLERS_LEAVE:
                 return self._begin_leaving()
+            case faults.Kind.CRASHING_REQUEST:
+                return self._begin_crashing(fault)
             case _ if kind in _MOODS_OF_ALL:
                 return _begin_mood(tuple(self._servers), _MOODS_OF_ALL[kind])
             case _:
@@ -286,9 +306,12 @@
         span = self._disturb(since, None)
         self._busy += 1
         self.store.is_down = True
+        copy = self._copies[0]
 
         def undo() -> None:
             self._busy -= 1
+            if kind is faults.Kind.STORE_RESTORED:
+                self._restore(copy)
             self.store.is_down = self._busy > 0
             if kind is faults.Kind.STORE_LAPSED:
                 self._lapse()
@@ -296,6 +319,42 @@
 
         return undo
 
+    def _copy_store(self) -> None:
+        """Keep copies of the store; the oldest is as old as `COPY_AGE_S`."""
+        while True:
+            self._copies.append(self.store.take_copy())
+            eventlet.sleep(COPY_EVERY_S)
+
+    def _restore(self, copy: object) -> None:
+        """Go back to a copy; the operator and the servers write again."""
+        self.store.restore(copy)
+        self._copies.clear()
+        self._copies.append(self.store.take_copy())
+        self.store.put("op/config", self._newest)
+        keys = self.store.list_keys()
+        living = {f"servers/{server.id}" for server in self._servers}
+        for key in keys - living:
+            if key.startswith("servers/"):
+                eventlet.spawn_after(LEASE_S, self.store.remove, key)
+        for server in self._servers:
+            if server.is_leaving or f"servers/{server.id}" not in keys:
+                delay_s = self._rng.random() * RETURN_S
+                eventlet.spawn_after(delay_s, self._register_again, server)
+
+    def _begin_crashing(self, fault: faults.Fault) -> Undo:
+        """Let one more caller send a request that ends each server that runs it."""
+        caller = callers.Caller(self._balancer, self.history, self._rng)
+        caller.body = servers.CRASHING_BODY + str(fault.pick).encode()
+        until = time.monotonic() + fault.until_s - fault.since_s
+        eventlet.spawn(caller.run, CRASHING_GAP_S, until)
+        return _do_nothing
+
+    def _crash_for_a_while(self, server: servers.Server) -> None:
+        if server.link.mode is links.Mode.REFUSED:
+            return
+        undo = self._crash(server)
+        eventlet.spawn_after(CRASHED_S, undo)
+
     def _lapse(self) -> None:
         """Lose the entries of all servers; those that live register again soon."""
         for server in self._servers:
@@ -362,7 +421,9 @@
         return undo
 
     def _crash(self, server: servers.Server) -> Undo:
-        server.link.begin(links.Mode.RESET)
+        if server.link.mode is links.Mode.REFUSED:
+            return _do_nothing
+        server.link.begin(links.Mode.REFUSED)
         crashed = server.id
 
         def lapse() -> None:
@@ -373,7 +434,7 @@
 
         def undo() -> None:
             server.start_again()
-            server.link.end(links.Mode.RESET)
+            server.link.end(links.Mode.REFUSED)
             self._register_again(server)
 
         return undo
@@ -397,9 +458,8 @@
         """Publish the next version, which sends bookings to the next service."""
         self._version += 1
         desk = DESKS[self._version % len(DESKS)]
-        self.store.put(
-            "op/config", build_configuration(self._version, self.setting, desk)
-        )
+        self._newest = build_configuration(self._version, self.setting, desk)
+        self.store.put("op/config", self._newest)
         self.history.published.append(
             records.Published(self._version, time.monotonic(), desk)
         )
--- a/benchmarks/gateways/servers.py
+++ b/benchmarks/gateways/servers.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -21,6 +22,10 @@
 _numbers = itertools.count(1)
 
 
+# A server that runs a request with such a body ends.
+CRASHING_BODY = b"crash "
+
+
 class Mood(enum.Enum):
     """How a server misbehaves."""
 
@@ -50,6 +55,8 @@
         self.address = self.link.address
         self.moods: list[Mood] = []
         self.is_leaving = False
+        # Called when this server is to end under a request.
+        self.on_crash: Callable[[Server], None] = _ignore
         self._history = history
         self._rng = rng
 
@@ -69,6 +76,10 @@
             return "503 Service Unavailable", {"X-Not-Executed": "1"}, b""
         arrival.signature = f"{self.id}.{next(_numbers)}"
         body = environ["wsgi.input"].read()
+        if body.startswith(CRASHING_BODY):
+            crashed = records.Crashed(body, arrival.id, arrival.at)
+            self._history.crashed.append(crashed)
+            self.on_crash(self)
         is_slow = Mood.SLOW in self.moods
         eventlet.sleep(SLOW_S if is_slow else SERVICE_S * self._rng.uniform(0.5, 2))
         return self._finish(arrival, body)
@@ -91,9 +102,14 @@
     def start_again(self) -> None:
         """Become another instance at the same address."""
         self.id = f"{self.id}-{next(_numbers)}"
+        self.started_at_ms = round(1000 * time.time())
         self.rate_limit = None
 
     def stop(self) -> None:
         """Listen no more, as after the end of its process."""
         self.link.stop()
         super().stop()
+
+
+def _ignore(_server: Server) -> None:
+    """End under no request."""
--- a/benchmarks/gateways/soak.py
+++ b/benchmarks/gateways/soak.py
@@ -14,6 +14,7 @@
 
 DIRECTORY = pathlib.Path("target/soak")
 SHOWN_AT_MOST = 20
+CRASHING_DESK_REPLICAS = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +45,9 @@
     for old in directory.glob("front-*"):
         old.unlink()
     plan = faults.draw_faults(random.Random(seed), seconds, kinds)
+    if faults.Kind.CRASHING_REQUEST in kinds:
+        # Else a request finds no replica left before it has crashed many.
+        size = dataclasses.replace(size, desk_replicas=CRASHING_DESK_REPLICAS)
     started = rig.Rig(size, directory, random.Random(seed + 1))
     try:
         started.run(seconds, plan)
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -10,6 +10,7 @@
 import json
 import os
 import socket
+import time
 import urllib.parse
 from collections.abc import Iterable, Sequence
 from typing import Any
@@ -395,11 +396,14 @@
         self.delay_s = 0.0
         self.status = "200 OK"
         self.rate_limit: float | None = None
+        self.started_at_ms = round(1000 * time.time())
+        self._write_count = 0
         self.requests: list[str] = []
         super().__init__()
 
     def register(self, store: FakeStore, state: str = "ready") -> None:
         """Write the registration of this server to the store."""
+        self._write_count += 1
         entry = {
             "service": self.service,
             "address": str(self.address),
@@ -408,7 +412,8 @@
             "capacity": 4,
             "state": state,
             "warmup_left_ms": 0,
-            "seq_no": 1,
+            "seq_no": self._write_count,
+            "born": self.started_at_ms,
         }
         store.put(f"servers/{self.id}", entry)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,8 @@
 SEEDS = (1, 4, 6, 18, 26)
 # Added later than the seeds above, which would draw other faults with them.
 MUTED_KINDS = (faults.Kind.STORE_MUTED, faults.Kind.REPLICA_MUTED)
-LATER_KINDS = (*MUTED_KINDS, faults.Kind.REPLICA_LIMITED)
+INCIDENT_KINDS = (faults.Kind.STORE_RESTORED, faults.Kind.CRASHING_REQUEST)
+LATER_KINDS = (*MUTED_KINDS, faults.Kind.REPLICA_LIMITED, *INCIDENT_KINDS)
 FIRST_KINDS = tuple(kind for kind in faults.Kind if kind not in LATER_KINDS)
 
 
@@ -59,6 +60,21 @@
     assert '"event":"demand"' in logs
 
 
+def test_gateways_bear_a_restored_store_and_a_request_that_crashes_replicas(tmp_path):
+    kinds = (
+        *INCIDENT_KINDS,
+        *(faults.Kind.HOST_PAUSED, faults.Kind.HOST_TERMINATED),
+        *(faults.Kind.PUBLISHED, faults.Kind.REPLICA_REPLACED),
+    )
+    report = soak.run(3, 3 * SECONDS, SIZE, tmp_path, kinds)
+    broken = [b for b in report.broken if b.check in (*TIMELESS, "crashes")]
+    assert broken == []
+    assert all(report.faults.get(kind.value) for kind in INCIDENT_KINDS)
+    logs = "".join(path.read_text() for path in tmp_path.glob("front-*.log"))
+    assert '"event":"store-restored"' in logs
+    assert '"verdict":"quarantined"' in logs
+
+
 def test_report_counts_every_request_once(tmp_path):
     kinds = (faults.Kind.STORE_GARBAGE,)
     report = soak.run(2, 5.0, dataclasses.replace(SIZE, hosts=1), tmp_path, kinds)
