--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -10,6 +10,7 @@
 import eventlet
 import pytest
 
+from corianderrill.gateway import quarantine
 from tests.utils import crashing_servers, gateway_rig
 
 HOSTS = 3
@@ -32,8 +33,16 @@
         self.servers = [
             crashing_servers.CrashingServer(self.store) for _ in range(replicas)
         ]
+        self.shard_servers = [
+            crashing_servers.CrashingServer(
+                self.store, shard, ends_with=crashing_servers.CRASH_QUERY_PATH
+            )
+            for shard in (*gateway_rig.SHARDS, *gateway_rig.SHARDS)
+        ]
+        for server in self.shard_servers:
+            server.records = [b"A" * 16]
         self.rig.publish_configuration(single={"type": "safe", "max_attempts": 2})
-        for server in (*self.rig.shard_servers, *self.servers):
+        for server in (*self.shard_servers, *self.servers):
             server.register(self.store)
         self._numbers = itertools.count()
 
@@ -51,19 +60,20 @@
         except OSError:
             return None
 
-    def send_crashing(self, seconds, hosts=None):
-        """Send the crashing request to the hosts in turn; return the answers."""
+    def send_crashing(self, seconds, hosts=None, path=crashing_servers.CRASH_PATH):
+        """Send a crashing request to the hosts in turn; return the answers."""
         until = time.monotonic() + seconds
         statuses = []
         for host in itertools.cycle(hosts or self.rig.hosts):
             if time.monotonic() >= until:
                 return statuses
-            statuses.append(self.ask(host, crashing_servers.CRASH_PATH))
+            statuses.append(self.ask(host, path))
             eventlet.sleep(ARRIVAL_INTERVAL_S)
 
     def list_runs(self):
+        servers = (*self.servers, *self.shard_servers)
         return sorted(
-            itertools.chain.from_iterable(server.runs for server in self.servers),
+            itertools.chain.from_iterable(server.runs for server in servers),
             key=lambda run: run.at,
         )
 
@@ -75,7 +85,7 @@
         return sum(run.at > since for run in runs)
 
     def stop(self):
-        for server in self.servers:
+        for server in (*self.servers, *self.shard_servers):
             server.stop()
         self.rig.stop()
 
@@ -168,3 +178,38 @@
     assert runs <= 2 * len(site.rig.hosts)
     site.send_crashing(1.0)
     assert len(site.list_runs()) == runs
+
+
+def test_query_that_crashes_replicas_of_every_shard_is_refused_too(site):
+    site.send_crashing(2.0, path=crashing_servers.CRASH_QUERY_PATH)
+    runs = len(site.list_runs())
+    assert runs >= CRASHES
+    statuses = site.send_crashing(2.0, path=crashing_servers.CRASH_QUERY_PATH)
+    assert set(statuses) == {503}
+    assert len(site.list_runs()) == runs
+
+
+# Guards against refusing for good what was sound, or has become so.
+@pytest.mark.parametrize(
+    "path", [crashing_servers.CRASH_PATH, crashing_servers.CRASH_QUERY_PATH]
+)
+def test_request_that_crashes_nothing_any_more_is_served_after_a_trial(site, path):
+    site.send_crashing(2.0, path=path)
+    for server in (*site.servers, *site.shard_servers):
+        server.ends_with = None
+    host = site.rig.hosts[0]
+    assert site.ask(host, path) == 503
+    with eventlet.Timeout(quarantine.TRIAL_DELAYS_S[0] + 2.0):
+        site.rig.wait_until(lambda: site.ask(host, path) == 200)
+    with eventlet.Timeout(gateway_rig.CONFIG_APPLY_S):
+        for other in site.rig.hosts:
+            site.rig.wait_until(lambda other=other: site.ask(other, path) == 200)
+
+
+def test_trial_of_a_request_that_still_crashes_costs_one_replica(site):
+    site.send_crashing(2.0, path=crashing_servers.CRASH_QUERY_PATH)
+    runs = len(site.list_runs())
+    site.send_crashing(
+        quarantine.TRIAL_DELAYS_S[0] + 2.0, path=crashing_servers.CRASH_QUERY_PATH
+    )
+    assert len(site.list_runs()) == runs + 1
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -131,6 +131,17 @@
     history.limited.append(records.Limited(replica, 0.5, AT, AT + 10))
 
 
+def end_replicas_again_and_again(history):
+    offsets = (1.0, 2.0, 3.0, *(7.1 + number / 10 for number in range(4)))
+    for number, offset in enumerate(offsets):
+        request = f"crashing-{number}"
+        asked = builders.build_asked(records.Kind.BOOKING, request, AT + offset)
+        asked.status = 502
+        history.asked.append(asked)
+        crashed = records.Crashed(b"crash 1", asked.id, AT + offset)
+        history.crashed.append(crashed)
+
+
 FAULTS = {
     answer_with_anothers_signature: "answers",
     answer_with_a_part_twice: "answers",
@@ -147,6 +158,7 @@
     go_back_to_an_older_version: "routes",
     ask_a_replica_that_has_left: "draining",
     send_more_than_a_limit_allows: "limits",
+    end_replicas_again_and_again: "crashes",
     cut_a_request_at_the_end: "losses",
     cut_a_request_that_was_read_before: "losses",
     end_with_a_failure: "losses",
@@ -179,6 +191,7 @@
         use_an_older_version_too_long,
         ask_a_replica_that_has_left,
         send_more_than_a_limit_allows,
+        end_replicas_again_and_again,
         cut_a_request_at_the_end,
         answer_long_after_the_timeout,
     ],
--- a/tests/utils/crashing_servers.py
+++ b/tests/utils/crashing_servers.py
@@ -10,6 +10,7 @@
 from corianderrill.standins import platform
 
 CRASH_PATH = "/single/crash"
+CRASH_QUERY_PATH = "/gather/crash"
 RESTART_S = 1.0
 LAPSE_S = 0.3
 
