Wait for the claim of a trial no longer than 0.2 s, and share a test's zone

A caller of a quarantined request waited up to 2.6 s for a store that had fallen silent, though without a trial it is to be refused at once. The two test modules with an aggregator use one builder.

--- a/corianderrill/gateway/crash_notes.py
+++ b/corianderrill/gateway/crash_notes.py
@@ -21,6 +21,7 @@
 EXPIRY_CHECK_INTERVAL_S = 1.0
 PUBLISH_CHECK_INTERVAL_S = 0.1
 MAX_WRITE_TRIES = 8
+CLAIM_TIMEOUT_S = 0.2
 
 
 class NotesOutcome(enum.Enum):
@@ -103,8 +104,11 @@
             fingerprint, now
         ):
             return False
+        no_reply = store.StoreError(store.FailureKind.UNREACHABLE, "no reply in time")
         try:
-            is_claimed = self._write(fingerprint, 1)
+            # The caller waits, and a request without a trial is to be refused at once.
+            with eventlet.Timeout(CLAIM_TIMEOUT_S, no_reply):
+                is_claimed = self._write(fingerprint, 1)
         except store.StoreError as error:
             self._record(fingerprint, NotesOutcome.FAILED, str(error))
             return False
--- a/tests/test_gateway_aggregation.py
+++ b/tests/test_gateway_aggregation.py
@@ -7,50 +7,17 @@
 import eventlet
 import pytest
 
-from tests.utils import gateway_rig, processes
+from tests.utils import aggregator_zones, gateway_rig
 
-# Sized for 80 hosts, so that aggregators are wanted.
-RETRY_SLACK = 200
-# Lets a host that has just started send a query again that its aggregator did not take.
-RETRY_RATIO = 20
 GOAL_S = 0.5
 DEADLINE_S = 2.0
 
 
-def pick_port_range():
-    port = int(processes.pick_address().rpartition(":")[2])
-    return [port, port]
-
-
-class Zone:
-    """Two hosts: the first one, with more capacity, is the aggregator."""
-
-    def __init__(self, directory):
-        self.rig = gateway_rig.GatewayRig(
-            directory,
-            retry_slack=RETRY_SLACK,
-            retry_ratio=RETRY_RATIO,
-            port_range=pick_port_range(),
-            cpu_share=60.0,
-        )
-        self.aggregator = self.rig.hosts[0]
-        self.entry = self.rig.add_host(
-            "front-2",
-            retry_slack=RETRY_SLACK,
-            retry_ratio=RETRY_RATIO,
-            port_range=pick_port_range(),
-            cpu_share=0.1,
-        )
-        self.rig.publish_configuration()
-        self.rig.register_servers()
+class Zone(aggregator_zones.Zone):
+    """Counts the queries that the entry host delegates."""
 
     def start(self):
-        for host in self.rig.hosts:
-            host.start()
-            self.rig.wait_until_ready(host)
-        self.rig.wait_until(
-            lambda: "aggregators/zone-a/0" in self.rig.store.list_keys()
-        )
+        super().start()
         self.rig.wait_until(self.delegates)
 
     def delegates(self):
--- a/tests/test_gateway_crash_notes.py
+++ b/tests/test_gateway_crash_notes.py
@@ -2,6 +2,7 @@
 
 import random
 
+import eventlet
 import pytest
 
 from corianderrill import names
@@ -120,16 +121,20 @@
     assert read_notes(fake_store).trials == 1
 
 
-@pytest.mark.parametrize("fault", ["store-down", "view-old"])
+@pytest.mark.parametrize("fault", ["store-down", "store-silent", "view-old"])
 def test_host_without_a_store_gets_no_trial(fake_store, hosts, fault):
     quarantine_on_all(fake_store, hosts)
     let_time_pass(hosts, quarantine.TRIAL_DELAYS_S[0])
-    if fault == "store-down":
-        fake_store.is_down = True
-    else:
-        hosts[0].notes.view.max_unconfirmed_s = 3.0
-        hosts[0].now += 4.0
-    assert not hosts[0].notes.claim_trial(F)
+    match fault:
+        case "store-down":
+            fake_store.is_down = True
+        case "store-silent":
+            fake_store.fall_silent()
+        case "view-old":
+            hosts[0].notes.view.max_unconfirmed_s = 3.0
+            hosts[0].now += 4.0
+    with eventlet.Timeout(0.5):
+        assert not hosts[0].notes.claim_trial(F)
 
 
 def test_unreadable_notes_are_written_over(fake_store, hosts):
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -11,7 +11,7 @@
 import pytest
 
 from corianderrill.standins import platform
-from tests.utils import gateway_rig, restored_zones
+from tests.utils import aggregator_zones, gateway_rig
 
 OUTAGE_S = 1.0
 OTHER_WRITES = 20
@@ -92,7 +92,7 @@
 
 @pytest.fixture
 def zone(tmp_path):
-    with restored_zones.run(tmp_path) as running:
+    with aggregator_zones.run(tmp_path) as running:
         yield running
 
 
--- a/tests/utils/restored_zones.py
+++ b/tests/utils/aggregator_zones.py
@@ -1,4 +1,4 @@
-"""A zone of gateways with an aggregator, for tests with a store that is restored."""
+"""A zone of two gateways, of which one is an aggregator."""
 
 import contextlib
 
@@ -8,6 +8,7 @@
 
 # Sized for 80 hosts, so that aggregators are wanted.
 RETRY_SLACK = 200
+# Lets a host that has just started send a query again that its aggregator did not take.
 RETRY_RATIO = 20
 
 
