Keep a trial that no replica ran for the next arrival

Cause: the trial was claimed and used up, though nothing had run. Change: the host that claimed it keeps it for the request's next arrival there. The new unit test fails on the code before.

--- a/corianderrill/gateway/crash_notes.py
+++ b/corianderrill/gateway/crash_notes.py
@@ -43,6 +43,8 @@
     log: event_log.EventLog
     rng: random.Random
     clock: Callable[[], float] = loop.read_clock
+    # Trials that this host has claimed, of requests that no replica ran then.
+    _unused_trials: set[quarantine.Fingerprint] = dataclasses.field(default_factory=set)
     _news: event.Event = dataclasses.field(default_factory=event.Event)
 
     def wake(self) -> None:
@@ -100,6 +102,9 @@
         The store lets one host have each of the few trials.
         """
         now = self.clock()
+        if fingerprint in self._unused_trials:
+            self._unused_trials.discard(fingerprint)
+            return True
         if not self.view.is_current(now) or not self.quarantine.is_trial_due(
             fingerprint, now
         ):
@@ -116,6 +121,10 @@
             self._record(fingerprint, NotesOutcome.TRIAL)
         return is_claimed
 
+    def return_trial(self, fingerprint: quarantine.Fingerprint) -> None:
+        """Keep a claimed trial for the next arrival, since no replica ran this one."""
+        self._unused_trials.add(fingerprint)
+
     def _write(self, fingerprint: quarantine.Fingerprint, more_trials: int) -> bool:
         """Write all that is known of a request; return False if there is no need."""
         key = documents.format_crash_key(fingerprint)
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -115,7 +115,7 @@
             self._store_client, self._view, self._quarantine, self.log, rng
         )
         self._shared.crash_watch.on_noted = self._crash_notes.wake
-        self._app = wsgi_app.GatewayApp(self._shared, self._crash_notes.claim_trial)
+        self._app = wsgi_app.GatewayApp(self._shared, self._crash_notes)
         history = change_history.ChangeHistory()
         self._store_relay = store_relay.StoreRelay(
             history, self._view, self._shared.loop.now
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -11,6 +11,7 @@
 from corianderrill.gateway import (
     caller_connections,
     coordinator,
+    crash_notes,
     delegation,
     event_log,
     quarantine,
@@ -73,10 +74,10 @@
     def __init__(
         self,
         shared: shared_state.SharedState,
-        claim_trial: Callable[[quarantine.Fingerprint], bool],
+        notes: crash_notes.CrashNotes,
     ) -> None:
         self._shared = shared
-        self._claim_trial = claim_trial
+        self._crash_notes = notes
         self._target_selector = targets.TargetSelector(shared.rng)
         self._started_at = shared.loop.now()
         self._last_zone_probe_at = 0.0
@@ -234,6 +235,8 @@
             outcome = outcome_event.wait()
         finally:
             disconnect_watcher.stop()
+        if is_trial and outcome is coordinator.RequestOutcome.NOT_EXECUTED:
+            self._crash_notes.return_trial(inbound.compute_fingerprint())
         response = self._build_response(request_coordinator, outcome)
         self._record_request(request_coordinator, outcome, response)
         return response
@@ -241,9 +244,9 @@
     def _try_claim_trial(self, inbound: requests.InboundRequest) -> bool:
         """Return whether to try a quarantined request once more."""
         verdict = self._shared.crash_watch.assess(inbound)
-        return verdict is quarantine.Verdict.QUARANTINED and self._claim_trial(
-            inbound.compute_fingerprint()
-        )
+        if verdict is not quarantine.Verdict.QUARANTINED:
+            return False
+        return self._crash_notes.claim_trial(inbound.compute_fingerprint())
 
     def _find_refusal_reason(
         self, route: routes.Route, services: tuple[str, ...], now: float
--- a/tests/test_gateway_crash_notes.py
+++ b/tests/test_gateway_crash_notes.py
@@ -176,3 +176,14 @@
     first.quarantine.record_reply(F)
     first.notes.step()
     assert KEY not in fake_store.list_keys()
+
+
+# Guards against using up a trial on a replica that is full or has been replaced.
+def test_trial_that_no_replica_ran_is_left_for_the_next_arrival(fake_store, hosts):
+    quarantine_on_all(fake_store, hosts)
+    let_time_pass(hosts, quarantine.TRIAL_DELAYS_S[0])
+    assert hosts[0].notes.claim_trial(F)
+    hosts[0].notes.return_trial(F)
+    assert not hosts[1].notes.claim_trial(F)
+    assert hosts[0].notes.claim_trial(F)
+    assert not hosts[0].notes.claim_trial(F)
