End an unused trial with the quarantine that it was claimed for

Cause, found by reading the diff: trials that no replica ran were kept in a set of their own, without a bound, and outlasted the request's clearing; quarantined again, it got an attempt that the store had not granted. Change: the trial is part of the request's record and goes with it. The new test can't run on the code before, whose set lay elsewhere.

--- a/corianderrill/gateway/crash_notes.py
+++ b/corianderrill/gateway/crash_notes.py
@@ -43,8 +43,6 @@
     log: event_log.EventLog
     rng: random.Random
     clock: Callable[[], float] = loop.read_clock
-    # Trials that this host has claimed, of requests that no replica ran then.
-    _unused_trials: set[quarantine.Fingerprint] = dataclasses.field(default_factory=set)
     _news: event.Event = dataclasses.field(default_factory=event.Event)
 
     def wake(self) -> None:
@@ -102,8 +100,7 @@
         The store lets one host have each of the few trials.
         """
         now = self.clock()
-        if fingerprint in self._unused_trials:
-            self._unused_trials.discard(fingerprint)
+        if self.quarantine.take_unused_trial(fingerprint):
             return True
         if not self.view.is_current(now) or not self.quarantine.is_trial_due(
             fingerprint, now
@@ -121,10 +118,6 @@
             self._record(fingerprint, NotesOutcome.TRIAL)
         return is_claimed
 
-    def return_trial(self, fingerprint: quarantine.Fingerprint) -> None:
-        """Keep a claimed trial for the next arrival, since no replica ran this one."""
-        self._unused_trials.add(fingerprint)
-
     def _write(self, fingerprint: quarantine.Fingerprint, more_trials: int) -> bool:
         """Write all that is known of a request; return False if there is no need."""
         key = documents.format_crash_key(fingerprint)
--- a/corianderrill/gateway/quarantine.py
+++ b/corianderrill/gateway/quarantine.py
@@ -80,6 +80,8 @@
     # 0 if the store holds no notes.
     revision: view.StoreRevision = view.StoreRevision(0)
     trials: int = 0
+    # This host has claimed a trial that no replica ran.
+    has_unused_trial: bool = False
     publish_at: float = -math.inf
     # Added to the lifetime, so that not all hosts remove the same notes at once.
     grace_s: float = 0.0
@@ -137,9 +139,7 @@
         record = self._get_record(fingerprint, now)
         if crash in record.crashes:
             return False
-        is_first_arrival = not record.crashes or record.list_arrivals() == {
-            crash.request_id
-        }
+        is_first_arrival = record.list_arrivals() <= {crash.request_id}
         record.crashes.add(crash)
         record.changed_at = now
         record.publish_at = now + PUBLISH_DELAY_S if is_first_arrival else now
@@ -171,6 +171,20 @@
             return False
         return now - record.changed_at >= TRIAL_DELAYS_S[record.trials]
 
+    def return_trial(self, fingerprint: Fingerprint) -> None:
+        """Keep a claimed trial for the next arrival, since no replica ran this one."""
+        record = self._records.get(fingerprint)
+        if record is not None:
+            record.has_unused_trial = True
+
+    def take_unused_trial(self, fingerprint: Fingerprint) -> bool:
+        """Return whether this host has an unused trial of a request, and use it up."""
+        record = self._records.get(fingerprint)
+        if record is None or not record.has_unused_trial:
+            return False
+        record.has_unused_trial = False
+        return True
+
     # The notes in the store.
 
     def apply_notes(
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -236,7 +236,7 @@
         finally:
             disconnect_watcher.stop()
         if is_trial and outcome is coordinator.RequestOutcome.NOT_EXECUTED:
-            self._crash_notes.return_trial(inbound.compute_fingerprint())
+            self._crash_notes.quarantine.return_trial(inbound.compute_fingerprint())
         response = self._build_response(request_coordinator, outcome)
         self._record_request(request_coordinator, outcome, response)
         return response
--- a/tests/test_gateway_crash_notes.py
+++ b/tests/test_gateway_crash_notes.py
@@ -183,7 +183,19 @@
     quarantine_on_all(fake_store, hosts)
     let_time_pass(hosts, quarantine.TRIAL_DELAYS_S[0])
     assert hosts[0].notes.claim_trial(F)
-    hosts[0].notes.return_trial(F)
+    hosts[0].quarantine.return_trial(F)
     assert not hosts[1].notes.claim_trial(F)
     assert hosts[0].notes.claim_trial(F)
     assert not hosts[0].notes.claim_trial(F)
+
+
+# Guards against a trial that outlasts the quarantine it was claimed for.
+def test_unused_trial_ends_with_the_quarantine(fake_store, hosts):
+    quarantine_on_all(fake_store, hosts)
+    let_time_pass(hosts, quarantine.TRIAL_DELAYS_S[0])
+    assert hosts[0].notes.claim_trial(F)
+    hosts[0].quarantine.return_trial(F)
+    hosts[0].quarantine.record_reply(F)
+    for number in range(quarantine.MAX_CRASHES):
+        hosts[0].note(f"i-later-{number}", f"q-later-{number}")
+    assert not hosts[0].notes.claim_trial(F)
