Compute a request's fingerprint once, and clear it by its first reply only

Found by reading the diff: while any crash was known, each reply of a query over shards hashed the whole request again, 36 to 42 times a query on large sites, and each decision on it once more. The fingerprint is kept with the request now. No decision changes. Run: the tests of the gateway's load, delegation and crashes.

--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -499,6 +499,8 @@
 
     def _record_complete_run(self) -> None:
         """Record that a replica ran the request to its end, so it crashes none."""
+        if self._was_run:
+            return
         self._was_run = True
         self.shared.crash_watch.record_reply(self.request)
         untried, self._untried = self._untried, ()
--- a/corianderrill/gateway/crash_watch.py
+++ b/corianderrill/gateway/crash_watch.py
@@ -119,7 +119,7 @@
         service: names.ServiceName,
         request: requests.InboundRequest,
     ) -> None:
-        fingerprint = request.compute_fingerprint()
+        fingerprint = request.fingerprint
         now = self.clock()
         crash = quarantine.Crash(process, request.id)
         if not self.quarantine.record_crash(fingerprint, crash, now):
@@ -137,13 +137,13 @@
         if self.quarantine.is_empty():
             return quarantine.Verdict.CLEAR
         is_store_known = self.view.is_current(self.clock())
-        return self.quarantine.assess(request.compute_fingerprint(), is_store_known)
+        return self.quarantine.assess(request.fingerprint, is_store_known)
 
     def record_reply(self, request: requests.InboundRequest) -> None:
         """Clear a request that a replica replied to."""
         if self.quarantine.is_empty():
             return
-        fingerprint = request.compute_fingerprint()
+        fingerprint = request.fingerprint
         if self.quarantine.record_reply(fingerprint):
             self.log.record(event_log.SuspicionCleared(request.id, fingerprint))
             self.on_noted()
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -236,7 +236,7 @@
         finally:
             disconnect_watcher.stop()
         if is_trial and outcome is coordinator.RequestOutcome.NOT_EXECUTED:
-            self._crash_notes.quarantine.return_trial(inbound.compute_fingerprint())
+            self._crash_notes.quarantine.return_trial(inbound.fingerprint)
         response = self._build_response(request_coordinator, outcome)
         self._record_request(request_coordinator, outcome, response)
         return response
@@ -246,7 +246,7 @@
         verdict = self._shared.crash_watch.assess(inbound)
         if verdict is not quarantine.Verdict.QUARANTINED:
             return False
-        return self._crash_notes.claim_trial(inbound.compute_fingerprint())
+        return self._crash_notes.claim_trial(inbound.fingerprint)
 
     def _find_refusal_reason(
         self, route: routes.Route, services: tuple[str, ...], now: float
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -47,7 +47,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class InboundRequest:
     """A request of a caller.
 
@@ -67,8 +67,9 @@
     # What the caller proves its identity with; empty if it does not.
     credentials: str = ""
 
-    def compute_fingerprint(self) -> quarantine.Fingerprint:
-        """Return what this request has in common with its repetitions."""
+    @functools.cached_property
+    def fingerprint(self) -> quarantine.Fingerprint:
+        """What this request has in common with its repetitions."""
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
         for part in (self.method, self.host.lower(), self.target, self.credentials):
             digest.update(part.encode("latin-1") + b"\n")
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -129,14 +129,14 @@
     ids=str,
 )
 def test_other_requests_and_callers_have_other_fingerprints(other):
-    fingerprint = build_request().compute_fingerprint()
-    assert build_request(**other).compute_fingerprint() != fingerprint
+    fingerprint = build_request().fingerprint
+    assert build_request(**other).fingerprint != fingerprint
 
 
 def test_repetition_has_the_same_fingerprint():
-    fingerprint = build_request("q-1").compute_fingerprint()
+    fingerprint = build_request("q-1").fingerprint
     repeated = build_request("q-2", headers=[("X-Deadline-Ms", "7")])
-    assert repeated.compute_fingerprint() == fingerprint
+    assert repeated.fingerprint == fingerprint
 
 
 def check(address):
