Test a store restored in series, hosts cut off and starting, and each kind of key

Each of the five kinds of keys with a lower revision in a new era. The stand-in answers stale reads with the era of their time; its listener and the tests' store each have one builder.

--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -78,8 +78,11 @@
     """A WSGI server on a free port of the loopback address."""
 
     def __init__(self) -> None:
-        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self._listen(("127.0.0.1", 0))
         self.address = names.Address(*self._listener.getsockname())
+
+    def _listen(self, address: tuple[str, int]) -> None:
+        self._listener = eventlet.listen(address)
         self._thread = eventlet.spawn(
             wsgi.server,
             self._listener,
@@ -146,8 +149,8 @@
     `end_silence`, no call is answered, and those that were open then never are. After
     `compact_history`, watches from an earlier revision get status 410. After
     `snapshot_for_stale_reads`, range reads that allow stale data are answered from the
-    snapshot. `restore` begins a new `era` from what `take_copy` returned, and gives out
-    its later revisions and leases again.
+    snapshot, with the era of that time. `restore` begins a new `era` from what
+    `take_copy` returned, and gives out its later revisions and leases again.
     """
 
     def __init__(self) -> None:
@@ -166,7 +169,7 @@
         self._last_lease = 0
         self._history: list[_Change] = []
         self._compacted_revision = 0
-        self._stale_snapshot: tuple[dict[str, _Change], int] | None = None
+        self._stale_snapshot: tuple[dict[str, _Change], int, int] | None = None
         self.stale_read_count = 0
         self._change_event = event.Event()
         super().__init__()
@@ -230,7 +233,7 @@
 
     def snapshot_for_stale_reads(self) -> None:
         """Take a snapshot of the store; all later stale reads are answered from it."""
-        self._stale_snapshot = dict(self._items), self.revision
+        self._stale_snapshot = dict(self._items), self.revision, self.era
 
     def compact_history(self) -> None:
         """Delete the history, so that watchers have to read all keys again."""
@@ -256,7 +259,7 @@
         if self._is_silent or silence_count != self._silence_count:
             event.Event().wait()
         status, headers, body = response
-        return status, {**headers, "Store-Era": str(self.era)}, body
+        return status, {"Store-Era": str(self.era), **headers}, body
 
     def _answer(self, environ: dict[str, Any]) -> HttpResponse:
         self.call_count += 1
@@ -267,7 +270,7 @@
             case "/api/kv-key":
                 return self._get_key(query["key"])
             case "/api/kv-range":
-                return self._build_reply(self._list_range(query))
+                return self._list_range(query)
             case "/api/kv-watch":
                 return self._watch(query)
             case "/api/kv-lease":
@@ -341,15 +344,19 @@
             {**item.to_wire(), "lease": self._lease_by_key.get(key, 0)}
         )
 
-    def _list_range(self, query: dict[str, str]) -> dict[str, Any]:
+    def _list_range(self, query: dict[str, str]) -> HttpResponse:
         prefix, after = query.get("prefix", ""), query.get("after", "")
-        items, revision = self._items, self.revision
+        items, revision, era = self._items, self.revision, self.era
         if query.get("serializable") == "1":
             self.stale_read_count += 1
-            items, revision = self._stale_snapshot or (items, revision)
+            items, revision, era = self._stale_snapshot or (items, revision, era)
         keys = sorted(k for k in items if k.startswith(prefix) and k > after)
         page = [items[key].to_wire() for key in keys[:MAX_PAGE_ITEMS]]
-        return {"items": page, "has_more": len(keys) > MAX_PAGE_ITEMS, "at": revision}
+        has_more = len(keys) > MAX_PAGE_ITEMS
+        status, headers, body = self._build_reply(
+            {"items": page, "has_more": has_more, "at": revision}
+        )
+        return status, {**headers, "Store-Era": str(era)}, body
 
     def _build_watch_reply(self, changes: list[_Change]) -> HttpResponse:
         events = [change.to_wire() for change in changes]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,10 +8,20 @@
 
 import pytest  # noqa: E402
 
+from corianderrill.standins import platform  # noqa: E402
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 PASSED_OVER = "passed over: "
 
 
+@pytest.fixture
+def fake_store():
+    """A stand-in of the platform's store, on the loopback address."""
+    running = platform.FakeStore()
+    yield running
+    running.stop()
+
+
 def pytest_collection_modifyitems(items):
     """Run the tests that KNOWN-RED.txt names, and pass over their failures."""
     lines = KNOWN_RED.read_text().splitlines()
--- a/tests/test_gateway_crash_notes.py
+++ b/tests/test_gateway_crash_notes.py
@@ -8,7 +8,6 @@
 from corianderrill import names
 from corianderrill.gateway import crash_notes, event_log, quarantine
 from corianderrill.platform import documents, store
-from corianderrill.standins import platform
 from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
@@ -43,13 +42,6 @@
         return [r.outcome for r in self.log.list_of(event_log.CrashNotesWritten)]
 
 
-@pytest.fixture
-def fake_store():
-    running = platform.FakeStore()
-    yield running
-    running.stop()
-
-
 @pytest.fixture
 def hosts(fake_store):
     return [Host(fake_store) for _ in range(3)]
--- a/tests/test_gateway_restored_leases.py
+++ b/tests/test_gateway_restored_leases.py
@@ -12,7 +12,6 @@
 from corianderrill.gateway import aggregator_role, demand_reporter, retry_budget
 from corianderrill.gateway import request_rates as rates
 from corianderrill.platform import documents, store
-from corianderrill.standins import platform
 from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
@@ -27,13 +26,6 @@
         return self.now
 
 
-@pytest.fixture
-def fake_store():
-    running = platform.FakeStore()
-    yield running
-    running.stop()
-
-
 @pytest.fixture
 def other(fake_store):
     """Return the client of another host."""
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -10,6 +10,7 @@
 import eventlet
 import pytest
 
+from benchmarks.gateways import links
 from corianderrill.standins import platform
 from tests.utils import aggregator_zones, gateway_rig
 
@@ -90,6 +91,56 @@
     fresh.stop()
 
 
+# Guards against a host that trusts the second copy by what it knew of the first one.
+def test_store_that_is_restored_several_times_in_series_is_followed(restored):
+    for number in range(1, 4):
+        restored.write_others()
+        restored.restore()
+        prefix = f"/series-{number}/"
+        restored.rig.publish_configuration(
+            version=10 * number, single={"prefix": prefix}
+        )
+        restored.assert_soon(f"{prefix}x", 200)
+
+
+# Guards against a watch that goes on from what a host knew before it was cut off.
+def test_host_that_is_cut_off_while_the_store_is_restored_misses_no_change(
+    restored,
+):
+    link = links.Link(restored.store.address)
+    host = restored.rig.add_host("front-cut", store_address=str(link.address))
+    host.start()
+    restored.rig.wait_until_ready(host)
+    restored.catch_up()
+    restored.rig.wait_until(lambda: host.send_request("/past/x")[0].status == 200)
+    link.begin(links.Mode.SILENT)
+    restored.store.restore(restored.copy)
+    restored.rig.publish_configuration(version=900, single={"prefix": "/new/"})
+    restored.write_others()
+    eventlet.sleep(OUTAGE_S)
+    link.end(links.Mode.SILENT)
+    with eventlet.Timeout(gateway_rig.CONTACT_S + gateway_rig.CONFIG_APPLY_S):
+        restored.rig.wait_until(lambda: host.send_request("/new/x")[0].status == 200)
+    link.stop()
+
+
+# Guards against a first page from before the restore, which a stale read may return.
+def test_host_that_starts_while_the_store_is_restored_misses_no_change(restored):
+    restored.write_others()
+    restored.catch_up()
+    restored.store.snapshot_for_stale_reads()
+    restored.store.restore(restored.copy)
+    restored.rig.publish_configuration(version=900, single={"prefix": "/new/"})
+    restored.write_others()
+    restored.write_others()
+    assert restored.store.revision > restored.copy.revision + OTHER_WRITES
+    host = restored.rig.add_host("front-late")
+    host.start()
+    restored.rig.wait_until_ready(host)
+    with eventlet.Timeout(gateway_rig.CONTACT_S + gateway_rig.CONFIG_APPLY_S):
+        restored.rig.wait_until(lambda: host.send_request("/new/x")[0].status == 200)
+
+
 @pytest.fixture
 def zone(tmp_path):
     with aggregator_zones.run(tmp_path) as running:
--- /dev/null
+++ b/tests/test_gateway_store_changes.py
@@ -0,0 +1,140 @@
+"""Keys of a restored store, whose revisions are lower than those known before."""
+
+import json
+
+import pytest
+
+from corianderrill.gateway import quarantine, store_changes
+from corianderrill.platform import documents, store
+from tests.utils import fake_stores, gateway_rig
+from tests.utils import gateway_builders as builders
+
+FINGERPRINT = quarantine.Fingerprint("f0")
+
+
+def build_changes():
+    log = fake_stores.RecordingLog()
+    return store_changes.StoreChanges(
+        builders.build_view(),
+        builders.build_aggregator_directory(),
+        builders.build_rate_limits(log),
+        builders.build_quarantine(),
+        log,
+    )
+
+
+def encode_configuration(version):
+    return json.dumps(gateway_rig.build_configuration(version)).encode()
+
+
+def encode_server(state, write_number):
+    return json.dumps(
+        {
+            "service": "shard-1",
+            "address": "10.0.0.1:8000",
+            "zone": "zone-a",
+            "version": "v1",
+            "capacity": 2,
+            "state": state,
+            "warmup_left_ms": 0,
+            "seq_no": write_number,
+            "born": 1_000,
+        }
+    ).encode()
+
+
+def encode_aggregator(host):
+    return json.dumps({"host": host, "address": "10.0.0.2:7420"}).encode()
+
+
+def encode_demand(per_s):
+    document = {"zone": "zone-a", "requests_per_s": {"shard-1": per_s}}
+    return json.dumps(document).encode()
+
+
+def encode_notes(*replicas):
+    return json.dumps({"crashes": [[r, f"q-{r}"] for r in replicas]}).encode()
+
+
+def read_version(changes):
+    return changes.view.configuration.version
+
+
+def read_ready(changes):
+    return builders.list_ready_ids(changes.view)
+
+
+def read_holder(changes):
+    return changes.aggregators.select(builders.ZONE, 50.0, changes.limits.rng).host
+
+
+def read_demand(changes):
+    reports = changes.limits.directory._reports
+    return reports["front-9"].requests_per_s["shard-1"]
+
+
+def read_verdict(changes):
+    return changes.quarantine.assess(FINGERPRINT, is_store_known=True).value
+
+
+# Key, values before and after the restore, how what is known is read, what it is then.
+KINDS = {
+    "configuration": (
+        *("op/config", encode_configuration(5), encode_configuration(9)),
+        *(read_version, 5, 9),
+    ),
+    "replica": (
+        *("servers/i-1", encode_server("ready", 4), encode_server("draining", 5)),
+        *(read_ready, ["i-1"], []),
+    ),
+    "aggregator-slot": (
+        *("aggregators/zone-a/0", encode_aggregator("front-8")),
+        *(encode_aggregator("front-9"), read_holder, "front-8", "front-9"),
+    ),
+    "demand": (
+        *("demand/front-9", encode_demand(3.0), encode_demand(7.0)),
+        *(read_demand, 3.0, 7.0),
+    ),
+    "crash-notes": (
+        *("crashes/f0", encode_notes("a"), encode_notes("a", "b", "c")),
+        *(read_verdict, "suspected", "quarantined"),
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_what_is_written_after_the_restore_is_applied_though_its_revision_is_lower(
+    kind,
+):
+    key, before, after, read, old, new = KINDS[kind]
+    changes = build_changes()
+    changes.enter_era(1, 0.0)
+    changes.apply([store.Item(store.Key(key), 100, before)], 1.0)
+    assert read(changes) == old
+    changes.enter_era(2, 10.0)
+    changes.apply([store.Item(store.Key(key), 7, after)], 10.0)
+    assert read(changes) == new
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_within_an_era_a_lower_revision_changes_nothing(kind):
+    key, before, after, read, old, _ = KINDS[kind]
+    if key == documents.CONFIGURATION_KEY:
+        # Its own version decides.
+        after = encode_configuration(4)
+    changes = build_changes()
+    changes.enter_era(1, 0.0)
+    changes.apply([store.Item(store.Key(key), 100, before)], 1.0)
+    changes.apply([store.Item(store.Key(key), 7, after)], 10.0)
+    assert read(changes) == old
+
+
+# The configuration never goes back, whatever the copy holds.
+def test_older_configuration_of_the_copy_is_not_applied():
+    changes = build_changes()
+    changes.enter_era(1, 0.0)
+    key = store.Key(documents.CONFIGURATION_KEY)
+    changes.apply([store.Item(key, 100, encode_configuration(9))], 1.0)
+    changes.enter_era(2, 10.0)
+    changes.apply([store.Item(key, 60, encode_configuration(5))], 10.0)
+    assert read_version(changes) == 9
--- a/tests/utils/crashing_servers.py
+++ b/tests/utils/crashing_servers.py
@@ -5,7 +5,6 @@
 import time
 
 import eventlet
-from eventlet import wsgi
 
 from corianderrill.standins import platform
 
@@ -50,8 +49,7 @@
     def crash(self):
         """End at once; all connections break, and the entry lapses later."""
         self.is_up = False
-        self._thread.kill()
-        self._listener.close()
+        self.stop()
         for sock in self._connections:
             try:
                 sock.shutdown(socket.SHUT_RDWR)
@@ -64,15 +62,6 @@
     def _restart(self):
         self._starts += 1
         self.id = f"{self.base_id}-{self._starts}"
-        address = (self.address.ip, self.address.port)
-        self._listener = eventlet.listen(address, reuse_addr=True)
-        self._thread = eventlet.spawn(
-            wsgi.server,
-            self._listener,
-            self._serve,
-            log=wsgi.LoggerNull(),
-            log_output=False,
-            debug=False,
-        )
+        self._listen((self.address.ip, self.address.port))
         self.is_up = True
         self.register(self.store)
--- a/tests/utils/gateway_rig.py
+++ b/tests/utils/gateway_rig.py
@@ -174,7 +174,8 @@
 
     def add_host(self, name, **settings):
         """Write the settings of one more host; it is not started."""
-        host = GatewayHost(self._directory, name, self.store.address, **settings)
+        address = settings.pop("store_address", self.store.address)
+        host = GatewayHost(self._directory, name, address, **settings)
         self.hosts.append(host)
         return host
 
