--- a/corianderrill/gateway/crash_watch.py
+++ b/corianderrill/gateway/crash_watch.py
@@ -144,6 +144,6 @@
         if self.quarantine.is_empty():
             return
         fingerprint = request.fingerprint
-        if self.quarantine.record_reply(fingerprint):
+        if self.quarantine.clear(fingerprint):
             self.log.record(event_log.SuspicionCleared(request.id, fingerprint))
             self.on_noted()
--- a/corianderrill/gateway/quarantine.py
+++ b/corianderrill/gateway/quarantine.py
@@ -146,8 +146,8 @@
         record.grace_s = 0.0
         return True
 
-    def record_reply(self, fingerprint: Fingerprint) -> bool:
-        """Clear a request that a replica ran to its end; return if it was known."""
+    def clear(self, fingerprint: Fingerprint) -> bool:
+        """Forget a request and withdraw its notes; return whether it was known."""
         record = self._records.pop(fingerprint, None)
         if record is None:
             return False
@@ -278,7 +278,7 @@
         """Drop the requests of which nothing was heard for long."""
         expired = [key for key, r in self._records.items() if r.is_expired(now)]
         for fingerprint in expired:
-            self.record_reply(fingerprint)
+            self.clear(fingerprint)
 
     def list_withdrawn(self) -> list[tuple[Fingerprint, view.StoreRevision]]:
         """Return the notes to remove from the store, and their revisions there."""
--- a/corianderrill/gateway/store_relay.py
+++ b/corianderrill/gateway/store_relay.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from corianderrill.gateway import change_history, view
-from corianderrill.platform import store
+from corianderrill.platform import relay_messages, store
 
 MAX_WAIT_S = 30.0
 
@@ -33,10 +33,10 @@
 
     def answer(self, path: str, query_text: str) -> bytes | None:
         """Return the reply to a call; None if the caller should ask the store."""
-        match store.parse_call(path, query_text):
-            case store.ProbeCall():
+        match relay_messages.parse_call(path, query_text):
+            case relay_messages.ProbeCall():
                 return self._encode([]) if self._is_current() else None
-            case store.WatchCall(after=after, era=era, wait_s=wait_s):
+            case relay_messages.WatchCall(after=after, era=era, wait_s=wait_s):
                 return self._watch(after, era, min(wait_s, MAX_WAIT_S))
             case _:
                 return None
@@ -64,4 +64,6 @@
 
     def _encode(self, changes: list[store.Item]) -> bytes:
         untrusted_s = self.view.removals_untrusted_until - self.clock()
-        return store.encode_reply(changes, self.history.revision, max(untrusted_s, 0.0))
+        return relay_messages.encode_reply(
+            changes, self.history.revision, max(untrusted_s, 0.0)
+        )
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -8,7 +8,6 @@
 import dataclasses
 import enum
 import socket
-import urllib.parse
 from collections.abc import Collection
 from typing import NewType
 
@@ -120,20 +119,6 @@
     era: view.StoreEra
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProbeCall:
-    """A call for the store's revision."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchCall:
-    """A call that waits up to `wait_s` for changes after a revision of an era."""
-
-    after: view.StoreRevision
-    era: view.StoreEra
-    wait_s: float
-
-
 class _WireItem(msgspec.Struct):
     key: str
     revision: int
@@ -430,34 +415,6 @@
     )
 
 
-def parse_call(path: str, query_text: str) -> ProbeCall | WatchCall | None:
-    """Return the call that another host sent in place of the store; None if unknown."""
-    query = dict(urllib.parse.parse_qsl(query_text))
-    if path == RANGE_PATH and query.get("prefix") == EMPTY_PREFIX:
-        return ProbeCall()
-    try:
-        after = view.StoreRevision(int(query["after"]))
-        era = view.StoreEra(int(query[ERA_FIELD]))
-        wait_s = int(query["wait_ms"]) / 1000
-    except (KeyError, ValueError):
-        return None
-    return WatchCall(after, era, wait_s) if path == WATCH_PATH else None
-
-
-def encode_reply(
-    changes: list[Item], revision: view.StoreRevision, removals_untrusted_s: float
-) -> bytes:
-    """Return the reply to a probe or a watch of another host."""
-    return msgspec.json.encode(
-        {
-            "items": [],
-            "events": [_encode_item(item) for item in changes],
-            "at": revision,
-            "removals_untrusted_ms": round(1000 * removals_untrusted_s),
-        }
-    )
-
-
 def _build_write(key: Key, value: bytes, lease: LeaseId) -> dict[str, object]:
     """Return the transaction that writes one key, whatever it held before."""
     text = base64.b64encode(value).decode()
@@ -468,13 +425,6 @@
     }
 
 
-def _encode_item(item: Item) -> dict[str, object]:
-    if item.value is None:
-        return {"key": item.key, "revision": item.revision, "deleted": True}
-    value = base64.b64encode(item.value).decode()
-    return {"key": item.key, "revision": item.revision, "value": value}
-
-
 def _check_lease_era(lease: Lease, reply: _Reply) -> None:
     if reply.era != lease.era:
         detail = f"lease {lease.id} of era {lease.era} in era {reply.era}"
--- a/tests/test_gateway_crash_notes.py
+++ b/tests/test_gateway_crash_notes.py
@@ -81,7 +81,7 @@
 def test_cleared_request_has_no_notes_any_more(fake_store, hosts):
     hosts[0].note("i-1", "q-1")
     hosts[0].notes.step()
-    hosts[0].quarantine.record_reply(F)
+    hosts[0].quarantine.clear(F)
     hosts[0].notes.step()
     assert KEY not in fake_store.list_keys()
     hosts[0].notes.step()
@@ -149,7 +149,7 @@
     replace_key = hosts[0].notes.client.replace_key
 
     def clear_and_replace(*arguments):
-        hosts[0].quarantine.record_reply(F)
+        hosts[0].quarantine.clear(F)
         return replace_key(*arguments)
 
     hosts[0].notes.client.replace_key = clear_and_replace
@@ -165,7 +165,7 @@
     first.notes.step()
     second.note("i-2", "q-2")
     second.notes.step()
-    first.quarantine.record_reply(F)
+    first.quarantine.clear(F)
     first.notes.step()
     assert KEY not in fake_store.list_keys()
 
@@ -187,7 +187,7 @@
     let_time_pass(hosts, quarantine.TRIAL_DELAYS_S[0])
     assert hosts[0].notes.claim_trial(F)
     hosts[0].quarantine.return_trial(F)
-    hosts[0].quarantine.record_reply(F)
+    hosts[0].quarantine.clear(F)
     for number in range(quarantine.MAX_CRASHES):
         hosts[0].note(f"i-later-{number}", f"q-later-{number}")
     assert not hosts[0].notes.claim_trial(F)
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -78,10 +78,10 @@
     known = build_quarantine((1, 1), (2, 1), (3, 2))
     notes, _ = known.build_notes(F)
     known.apply_notes(F, notes, 7, 11.0)
-    assert known.record_reply(F)
+    assert known.clear(F)
     assert known.assess(F, is_store_known=True) is CLEAR
     assert known.list_withdrawn() == [(F, 7)]
-    assert not known.record_reply(F)
+    assert not known.clear(F)
 
 
 def test_removal_of_the_notes_clears_the_request_on_other_hosts():
