--- a/review/2/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-# Exits with 1 if an answer was not of one set of shards, 0 if not, 2 if the case could not run.
-exec env PYTHONDONTWRITEBYTECODE=1 python3 "$(dirname "$0")/case.py"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,7 @@
-"""A host that stops cuts an answer that it is still writing (LOST)."""
+"""An entry of another writer ends the task that follows the store (CONFIG)."""
 
 import asyncio
-import contextlib
 import pathlib
-import signal
-import socket
 import sys
 import time
 
@@ -13,88 +10,75 @@
 
 import standins  # noqa: E402
 
-SERVICE = "office-desk"
-DEADLINE_MS = 20_000
-BODY_BYTES = 1_500_000
-# The client reads this much at a time and pauses between, about 0.9 MB/s.
-READ_BYTES = 4_000
-READ_PAUSE_S = 0.01
-# What a client behind an ordinary network link offers to its sender.
-SEGMENT_BYTES = 1_460
-RECEIVE_BUFFER_BYTES = 8_192
-TERM_AFTER_S = 0.5
-GRACE_S = standins.BOUNDS["grace_s"]
-REQUEST_ID = "fetch-1"
+OLD_SERVICE = "office-desk"
+NEW_SERVICE = "reminder-mail"
+DEADLINE_MS = 2500
+NESTING = 2000
+# `config_apply_ms` after the acknowledgement, and a margin.
+APPLY_S = standins.BOUNDS["config_apply_ms"] / 1000 + 1.0
+REQUESTS = 20
 
 
-class LargeReplica(standins.Replica):
-    def build_body(self, request_id):
-        return b"n" * BODY_BYTES
-
-
-async def read_slowly(port, data):
-    """Return how many bytes of head and body came, and whether that was all."""
-    loop = asyncio.get_running_loop()
-    sock = socket.socket()
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setblocking(False)
-    await loop.sock_connect(sock, ("127.0.0.1", port))
-    await loop.sock_sendall(sock, data)
-    received = b""
-    with contextlib.suppress(ConnectionError):
-        while not is_complete(received):
-            piece = await loop.sock_recv(sock, READ_BYTES)
-            if not piece:
-                break
-            received += piece
-            await asyncio.sleep(READ_PAUSE_S)
-    sock.close()
-    return len(received), is_complete(received)
-
-
-def is_complete(received):
-    head, separator, body = received.partition(b"\r\n\r\n")
-    return bool(separator) and len(body) >= BODY_BYTES
+def build_unreadable_entry():
+    """Return a value that is no entry: JSON that is nested and never closed."""
+    return b'{"service": "office-desk", "notes": ' + b"[" * NESTING
 
 
 async def play(record, directory, has_trouble, cleanup):
     store = standins.Store()
     await store.start()
     cleanup.callback(store.stop)
-    replica = LargeReplica(SERVICE, record, work_s=0.06)
-    await replica.start()
-    cleanup.callback(replica.stop)
-    replica.register(store)
-    route = standins.build_route(
-        "notice-fetch", "/notices/", {"service": SERVICE}, "unsafe", DEADLINE_MS
-    )
-    store.put("op/config", standins.build_configuration(7, [route], [SERVICE]))
-    gateway = standins.Gateway("front-1", store, directory)
-    cleanup.push_async_callback(gateway.stop)
-    await gateway.start()
-    data = standins.render_request(
-        "/notices/1", REQUEST_ID, "shop.example", DEADLINE_MS, b"order"
-    )
-    record.write(f"client sends {REQUEST_ID}")
-    sent_at = time.monotonic()
-    reading = asyncio.create_task(read_slowly(gateway.port, data))
-    await asyncio.sleep(TERM_AFTER_S)
+    for service in (OLD_SERVICE, NEW_SERVICE):
+        for _ in range(3):
+            replica = standins.Replica(service, record)
+            await replica.start()
+            cleanup.callback(replica.stop)
+            replica.register(store)
+
+    def put_configuration(version, service):
+        route = standins.build_route(
+            "notice-fetch", "/notices/", {"service": service}, "safe", DEADLINE_MS
+        )
+        services = [OLD_SERVICE, NEW_SERVICE]
+        store.put("op/config", standins.build_configuration(version, [route], services))
+        record.write(f"operator writes version {version}: /notices/ to {service}")
+
+    put_configuration(7, OLD_SERVICE)
+    gateways = []
+    for number in range(2):
+        gateway = standins.Gateway(f"front-{number}", store, directory)
+        cleanup.push_async_callback(gateway.stop)
+        await gateway.start()
+        gateways.append(gateway)
     if has_trouble:
-        record.write("SIGTERM to front-1")
-        gateway.send_signal(signal.SIGTERM)
-        term_at = time.monotonic()
-        status = await asyncio.wait_for(gateway.process.wait(), GRACE_S + 1)
-        ended_s = time.monotonic() - term_at
-        record.write(f"front-1 ended with {status}, {ended_s:.2f} s after SIGTERM")
-    received, is_whole = await reading
-    took_s = time.monotonic() - sent_at
-    record.write(
-        f"client got {received} bytes of a body of {BODY_BYTES} after {took_s:.2f} s, "
-        f"{'whole' if is_whole else 'cut off'}"
-    )
-    record.write(f"{replica.id} ran {replica.runs}")
-    return is_whole
+        store.put("servers/i-other", build_unreadable_entry())
+        record.write("another writer writes servers/i-other")
+    await asyncio.sleep(2.0)
+    put_configuration(8, NEW_SERVICE)
+    acknowledged_at = time.monotonic()
+    await asyncio.sleep(APPLY_S)
+    outdated = 0
+    for number in range(REQUESTS):
+        gateway = gateways[number % len(gateways)]
+        request_id = f"fetch-{number}"
+        data = standins.render_request(
+            f"/notices/{number}", request_id, "shop.example", DEADLINE_MS
+        )
+        sent_s = time.monotonic() - acknowledged_at
+        answer = await standins.ask(gateway.port, data)
+        body = b"" if answer is None else answer[2]
+        outdated += body.startswith(OLD_SERVICE.encode())
+        is_ready = await gateway.is_ready()
+        record.write(
+            f"{request_id} sent to {gateway.name} {sent_s:.1f} s after version 8: "
+            f"{answer and answer[0]}, body {body!r}; ready: {is_ready}"
+        )
+    record.write(f"{outdated} of {REQUESTS} requests ran on {OLD_SERVICE}")
+    for gateway in gateways:
+        tail = gateway.log.read_text(errors="replace").strip().splitlines()
+        ends = [line for line in tail if "RecursionError" in line]
+        record.write(f"{gateway.name} wrote: {ends[-1][:200] if ends else 'no error'}")
+    return outdated == 0
 
 
 standins.run_case(FOLDER, play)
