--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 DEADLINE_MS = 2500
 # The budget for second attempts is full once a host has run for its window.
 WARM_UP_S = 11.0
-REQUESTS_PER_S = 40
+REQUESTS_PER_S = 20
 TROUBLE_S = 5.0
 COPY_DELAY_S = 0.03
 MARKED = "order-1"
