--- a/review/1/stray.py
+++ b/review/1/stray.py
@@ -1,6 +1,7 @@
 """An unsafe request runs twice after stray bytes that look like a refusal (TWICE)."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -88,4 +89,7 @@
     return len(runs) <= 1
 
 
-standins.run_case(FOLDER, play)
+# With TROUBLE=0 the case runs without its disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+standins.run_case(FOLDER, play, HAS_TROUBLE)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -198,4 +198,7 @@
 
 if not os.path.isdir("/proc/self"):
     sys.exit(2)
-standins.run_case(FOLDER, play)
+# With TROUBLE=0 the case runs without its disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+standins.run_case(FOLDER, play, HAS_TROUBLE)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """An entry of another writer ends the task that follows the store (CONFIG)."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -81,4 +82,7 @@
     return outdated == 0
 
 
-standins.run_case(FOLDER, play)
+# With TROUBLE=0 the case runs without its disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+standins.run_case(FOLDER, play, HAS_TROUBLE)
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -21,6 +22,7 @@
 HEARTBEAT_MS = 1200
 READY_WITHIN_S = 30.0
 MAX_PAGE_ITEMS = 500
+RUN_TIMEOUT_S = 110.0
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -468,25 +470,26 @@
     }
 
 
-def run_case(folder, play):
+def run_case(folder, play, has_trouble):
     """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
     `play(record, directory, has_trouble, cleanup)` returns whether the rule held;
-    `cleanup` is an asynchronous exit stack.
+    `cleanup` is an asynchronous exit stack. Its processes also end when this one is
+    interrupted.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
 
     async def play_whole():
+        _cancel_on_signals(asyncio.current_task())
         async with contextlib.AsyncExitStack() as cleanup:
             return await asyncio.wait_for(
-                play(record, directory, has_trouble, cleanup), 110.0
+                play(record, directory, has_trouble, cleanup), RUN_TIMEOUT_S
             )
 
     try:
         held = asyncio.run(play_whole())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
@@ -495,3 +498,17 @@
     record.write("the rule held" if held else "the rule was broken")
     print("held" if held else "broken")
     sys.exit(0 if held else 1)
+
+
+def _cancel_on_signals(task):
+    """Cancel a task at the first signal to stop; later ones leave its cleanup alone."""
+
+    def cancel_once():
+        nonlocal is_canceled
+        if not is_canceled:
+            is_canceled = True
+            task.cancel()
+
+    is_canceled = False
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, cancel_once)
--- a/review/trials/crashes.py
+++ b/review/trials/crashes.py
@@ -126,4 +126,4 @@
     return late <= MAX_LATE
 
 
-standins.run_case(FOLDER, play)
+standins.run_case(FOLDER, play, True)
--- a/review/trials/pauses.py
+++ b/review/trials/pauses.py
@@ -92,4 +92,4 @@
     return not twice and not untrue
 
 
-standins.run_case(FOLDER, play)
+standins.run_case(FOLDER, play, True)
--- a/review/trials/stops.py
+++ b/review/trials/stops.py
@@ -104,4 +104,4 @@
     return not lost
 
 
-standins.run_case(FOLDER, play)
+standins.run_case(FOLDER, play, True)
