Let go of the bytes of a reply when its exchange ends

Cause: the HTTP parser and the connection refer to each other, so closed connections kept headers, body and parser until the garbage collector ran, while the count of buffered bytes had been taken back. Idle connections kept their last reply.

Change: a reader of its own holds what an exchange has read; the connection closes it when the exchange ends.

--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -16,20 +16,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import httptools
 from eventlet import hubs, patcher
 
 from corianderrill import names
-from corianderrill.gateway import loop, send_queue
+from corianderrill.gateway import loop, reply_reader, send_queue
 
 # The unpatched module: all socket calls below are non-blocking.
 socket = patcher.original("socket")
 
 RECEIVE_BUFFER_BYTES = 65_536
-MAX_REPLY_HEAD_BYTES = 262_144
-MAX_REPLY_BODY_BYTES = 4 * 1_048_576
-# Interim replies, chunk headers and replies to other requests count as well.
-MAX_EXCHANGE_BYTES = MAX_REPLY_HEAD_BYTES + 2 * MAX_REPLY_BODY_BYTES
 # For the replies that all connections together are receiving.
 MAX_BUFFERED_BYTES = 32 * 1_048_576
 # The kernel closes a connection whose sent bytes stay unacknowledged for longer.
@@ -73,7 +68,7 @@
     sent: bool
 
 
-class OutboundRequest(send_queue.QueuedRequest, Protocol):
+class OutboundRequest(send_queue.QueuedRequest, reply_reader.ReplyOwner, Protocol):
     """A request to send, and the callbacks for its result."""
 
     idempotent: bool
@@ -84,12 +79,6 @@
     def on_send_start(self) -> None:
         """Handle the start of sending; called just before the first byte is sent."""
 
-    def owns_reply(self, headers: list[tuple[bytes, bytes]]) -> bool:
-        """Return whether a reply with these headers may belong to the request."""
-
-    def on_interim_reply(self) -> None:
-        """Handle an interim (1xx) reply; the reply itself is still to come."""
-
     def on_result(self, result: RawReply | FailedExchange) -> None:
         """Handle the reply, or the reason why there is none."""
 
@@ -129,7 +118,8 @@
         self._read_listener = None
         self._write_listener = None
         self._state = _State.CONNECTING
-        self._received_bytes = 0
+        # Of the exchange under way, if any.
+        self._reader: reply_reader.ReplyReader | None = None
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -191,16 +181,7 @@
 
     def _begin_exchange(self) -> None:
         self._state = _State.BUSY
-        self._status = 0
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body_pieces: list[bytes] = []
-        self._body_bytes = 0
-        self._received_bytes = 0
-        self._has_headers = False
-        self._is_body_delimited = False
-        self._is_complete = False
-        self._is_reusable = True
-        self._parser = httptools.HttpResponseParser(self)
+        self._reader = reply_reader.ReplyReader(self._request)
         self._unsent_bytes = self._request.render()
         self._request.on_send_start()
         self._on_writable(self._fd)
@@ -252,107 +233,47 @@
         self._parse(data)
 
     def _parse(self, data: bytes) -> None:
-        self._received_bytes += len(data)
         Connection.buffered_bytes += len(data)
-        if self._is_too_large():
-            self._fail(Failure.TOO_LARGE)
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            if not self._is_complete:
+        progress = self._reader.feed(data)
+        match progress:
+            case reply_reader.Progress.COMPLETE:
+                self._deliver_reply()
+            case reply_reader.Progress.MALFORMED:
                 self._fail(Failure.MALFORMED)
-                return
-            self._is_reusable = False
-        if self._is_complete:
-            self._deliver_reply()
-
-    def _is_too_large(self) -> bool:
-        """Return whether the server sends more than any reply that is accepted."""
-        if not self._has_headers and self._received_bytes > MAX_REPLY_HEAD_BYTES:
-            return not self._body_bytes
-        return (
-            self._body_bytes > MAX_REPLY_BODY_BYTES
-            or self._received_bytes > MAX_EXCHANGE_BYTES
-            or Connection.buffered_bytes > MAX_BUFFERED_BYTES
-        )
-
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Rule out reuse of the connection if a second reply follows a complete one."""
-        if self._is_complete:
-            self._is_reusable = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header of the reply."""
-        if not self._is_complete:
-            self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Determine whether the headers delimit the body, by length or by chunks."""
-        if self._is_complete:
-            return
-        self._status = self._parser.get_status_code()
-        header_fields = dict(self._headers)
-        self._is_body_delimited = (
-            b"content-length" in header_fields
-            or b"chunked" in header_fields.get(b"transfer-encoding", b"").lower()
-        )
-        self._has_headers = True
-
-    def on_body(self, body: bytes) -> None:
-        """Store a piece of the body."""
-        if not self._is_complete:
-            self._body_pieces.append(body)
-            self._body_bytes += len(body)
-
-    def on_message_complete(self) -> None:
-        """Mark the reply as complete, unless the reply to the request is still to come.
-
-        It is after an interim (1xx) response, and after a reply to an earlier request,
-        which a server may have sent a second time.
-        """
-        if self._is_complete:
-            return
-        is_interim = self._status < 200
-        if is_interim or not self._request.owns_reply(self._headers):
-            self._headers = []
-            self._body_pieces = []
-            self._body_bytes = 0
-            self._has_headers = False
-            self._is_reusable = self._is_reusable and is_interim
-            if is_interim:
-                self._request.on_interim_reply()
-            return
-        self._is_complete = True
-        self._is_reusable = self._is_reusable and self._parser.should_keep_alive()
+            case reply_reader.Progress.TOO_LARGE:
+                self._fail(Failure.TOO_LARGE)
+            case _ if Connection.buffered_bytes > MAX_BUFFERED_BYTES:
+                self._fail(Failure.TOO_LARGE)
 
     # The end of an exchange.
 
     def _on_end_of_stream(self) -> None:
-        if self._has_headers and not self._is_body_delimited and self._status >= 200:
-            self._is_complete = True
-            self._is_reusable = False
+        if self._reader.end() is reply_reader.Progress.COMPLETE:
             self._deliver_reply()
             return
         self._fail(Failure.CLOSED)
 
     def _deliver_reply(self) -> None:
         request, self._request = self._request, None
-        self._release_buffer()
-        reply = RawReply(self._status, self._headers, b"".join(self._body_pieces))
+        reader = self._reader
+        reply = RawReply(reader.status, reader.headers, reader.join_body())
+        is_reusable = reader.is_reusable
+        self._close_reader()
         # The server would read the unsent rest of this request as part of the next one.
-        if self._is_reusable and not self._unsent_bytes:
+        if is_reusable and not self._unsent_bytes:
             self._set_idle_timeout(reply)
             self._become_idle()
         else:
             self._close()
         request.on_result(reply)
 
-    def _release_buffer(self) -> None:
-        Connection.buffered_bytes -= self._received_bytes
-        self._received_bytes = 0
+    def _close_reader(self) -> None:
+        """Let go of the bytes that were received; the connection may be kept long."""
+        reader, self._reader = self._reader, None
+        if reader is None:
+            return
+        Connection.buffered_bytes -= reader.received_bytes
+        reader.close()
 
     def _set_idle_timeout(self, reply: RawReply) -> None:
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -392,7 +313,8 @@
         if self._state is _State.CLOSED:
             return
         self._state = _State.CLOSED
-        self._release_buffer()
+        self._close_reader()
+        self._unsent_bytes = b""
         if self._connect_timer is not None:
             self._connect_timer.cancel()
         self._remove_write_listener()
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -1,12 +1,14 @@
 """Handling of malformed replies, and reuse of connections by pools."""
 
+import contextlib
+import gc
 import tracemalloc
 
 import eventlet
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import connections, pools
+from corianderrill.gateway import connections, pools, reply_reader
 from tests.utils import scripted_servers as servers
 
 SETTLE_S = 0.05
@@ -218,7 +220,7 @@
     tracemalloc.stop()
     assert isinstance(result, connections.FailedExchange)
     assert result.sent
-    assert peak_bytes < 6 * connections.MAX_EXCHANGE_BYTES
+    assert peak_bytes < 6 * reply_reader.MAX_EXCHANGE_BYTES
     assert connections.Connection.buffered_bytes == 0
 
 
@@ -232,6 +234,55 @@
     assert connections.Connection.buffered_bytes == 0
 
 
+@contextlib.contextmanager
+def measure_kept_bytes():
+    """Yield a function that returns the bytes kept, without the garbage collector."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    before_bytes, _ = tracemalloc.get_traced_memory()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[0] - before_bytes
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+# Guards against hosts that run out of memory: closed connections kept what replicas had
+# sent without end until the garbage collector ran, which was seldom.
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 900),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 60_000),
+    ],
+    ids=["head", "body"],
+)
+def test_endless_replies_are_given_back_when_their_connection_closes(first, piece):
+    scripts = [send_without_end(first, piece)] * 3
+    with measure_kept_bytes() as count_kept, servers.serve(*scripts) as pool:
+        connections_kept = []
+        for _ in scripts:
+            request = servers.send(pool)
+            connections_kept.append(request.connection)
+            assert isinstance(request.wait(), connections.FailedExchange)
+        assert count_kept() < 200_000
+
+
+# Guards against idle connections that each keep the last reply in memory.
+def test_idle_connection_does_not_keep_its_last_reply():
+    reply = build_reply(b"q", b"a" * 2_000_000)
+    with (
+        measure_kept_bytes() as count_kept,
+        servers.serve(servers.script_replies(reply)) as pool,
+    ):
+        assert len(servers.send(pool).wait().body) == 2_000_000
+        # The event loop holds the result until it runs again.
+        eventlet.sleep(0)
+        assert pool.opened_count == 1
+        assert count_kept() < 200_000
+
+
 def test_reply_that_comes_a_byte_at_a_time_ends_when_its_request_is_given_up():
     def script(connection):
         servers.read_request(connection)
