Decode what other processes wrote into a value or one typed error

Cause: each reader listed the errors that it expected of the decoder.

Change: platform/decoding holds the one call of the decoder; integers are bounded, addresses are IPv4 and a port in ASCII digits.

--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -3,19 +3,25 @@
 The `_Wire` structs have the field names of the stored JSON.
 """
 
-from typing import Literal
+import re
+from typing import Annotated, Literal
 
 import msgspec
 
 from corianderrill import names
 from corianderrill.gateway import aggregators, demand, quarantine, replicas, routes
-from corianderrill.platform import settings
+from corianderrill.platform import decoding, settings
 
 CONFIGURATION_KEY = "op/config"
 SERVER_KEY_PREFIX = "servers/"
 AGGREGATOR_KEY_PREFIX = "aggregators/"
 DEMAND_KEY_PREFIX = "demand/"
 CRASH_KEY_PREFIX = "crashes/"
+# A server that claims to execute more requests at once is not believed.
+MAX_CAPACITY = 1_000_000
+# Ids are sent to servers in a header, and as words in log lines.
+_REPLICA_ID = re.compile(r"[!-~]{1,192}")
+_SLOT = re.compile(r"[0-9]{1,9}")
 # HTTP/1.1; services with another protocol are ignored.
 _SUPPORTED_PROTOCOL = "h1"
 
@@ -63,7 +69,7 @@
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: decoding.Integer
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -76,14 +82,14 @@
     # The version of the software that the server runs.
     version: str
     # The number of requests that the server processes concurrently.
-    capacity: int
+    capacity: Annotated[int, msgspec.Meta(ge=1, le=MAX_CAPACITY)]
     state: Literal["ready", "draining"]
     # The rest of the warm-up time in which the server is slow.
     warmup_left_ms: float
     # Counts the writes of the server since its start.
-    seq_no: int
+    seq_no: decoding.Integer
     # The start time of the server, in Unix milliseconds.
-    born: int | None = None
+    born: decoding.Integer | None = None
 
 
 class _WireAggregator(msgspec.Struct):
@@ -103,7 +109,7 @@
 class _WireNotes(msgspec.Struct):
     # Pairs of the process of a replica and the id of the request that it ran.
     crashes: list[tuple[str, str]]
-    trials: int = 0
+    trials: decoding.Integer = 0
 
 
 _NOTES_DECODER = msgspec.json.Decoder(_WireNotes)
@@ -183,7 +189,7 @@
 def parse_aggregator_key(key: str) -> aggregators.SlotKey:
     """Return the slot that a key names. Raise DocumentError if it names none."""
     zone, _, slot = key.removeprefix(AGGREGATOR_KEY_PREFIX).rpartition("/")
-    if not zone or not slot.isdigit():
+    if not zone or not _SLOT.fullmatch(slot):
         raise DocumentError(f"expected a zone and a slot in the key {key!r}")
     return aggregators.SlotKey(names.ZoneName(zone), aggregators.Slot(int(slot)))
 
@@ -281,10 +287,11 @@
     """Decode the entry of a replica. Raise DocumentError if it is invalid."""
     document = _decode(_SERVER_DECODER, value)
     address = _parse_address(document.address)
-    if document.capacity < 1:
-        raise DocumentError(f"capacity: {document.capacity} is less than one")
+    replica_id = parse_replica_id(key)
+    if not _REPLICA_ID.fullmatch(replica_id):
+        raise DocumentError(f"expected an id of printable ASCII in the key {key!r}")
     return replicas.Registration(
-        id=parse_replica_id(key),
+        id=replica_id,
         service=names.ServiceName(document.service),
         address=address,
         zone=names.ZoneName(document.zone),
@@ -298,8 +305,8 @@
 
 def _decode(decoder: msgspec.json.Decoder, value: bytes) -> msgspec.Struct:
     try:
-        return decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decoding.decode(decoder, value)
+    except decoding.DecodingError as error:
         raise DocumentError(str(error)) from error
 
 
--- a/corianderrill/platform/settings.py
+++ b/corianderrill/platform/settings.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import os
+import re
+import socket
 import tomllib
 from collections.abc import Mapping
 from typing import Any
@@ -11,6 +13,7 @@
 PATH_VARIABLE = "CORIANDERRILL_SETTINGS"
 METRICS_PORT_VARIABLE = "CORIANDERRILL_METRICS_PORT"
 DEFAULT_METRICS_PORT = 9464
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 class SettingsError(Exception):
@@ -114,9 +117,8 @@
 
 
 def _read_metrics_port() -> int:
-    text = os.environ.get(METRICS_PORT_VARIABLE, str(DEFAULT_METRICS_PORT))
-    # The name of the variable takes the place of the IP, so that an error shows it.
-    return parse_address(f"{METRICS_PORT_VARIABLE}:{text}").port
+    port = os.environ.get(METRICS_PORT_VARIABLE, str(DEFAULT_METRICS_PORT))
+    return _parse_port(f"{METRICS_PORT_VARIABLE}={port}", port)
 
 
 def _get_field(document: Mapping[str, Any], name: str, expected_type: type) -> Any:
@@ -137,10 +139,29 @@
 
 
 def parse_address(text: str) -> names.Address:
-    """Parse an address of the form IP:PORT. Raise SettingsError if it is another."""
+    """Parse an address of the form IP:PORT, with an IPv4 address.
+
+    Raise SettingsError if it is another. A host name is refused, since looking it up
+    would block the process.
+    """
     ip, _, port = text.rpartition(":")
-    if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
+    if not _is_ipv4_address(ip):
+        raise SettingsError(f"expected IP:PORT with an IPv4 address, found {text!r}")
+    return names.Address(ip, _parse_port(text, port))
+
+
+def _is_ipv4_address(text: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def _parse_port(text: str, port: str) -> int:
+    """Return the port that ends `text`. Raise SettingsError if it is none."""
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65_536:
         raise SettingsError(
-            f"expected IP:PORT with a port from 1 to 65535, found {text!r}"
+            f"expected a port from 1 to 65535 at the end of {text[:200]!r}"
         )
-    return names.Address(ip, int(port))
+    return int(port)
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -7,6 +7,7 @@
 import binascii
 import dataclasses
 import enum
+import re
 import socket
 from collections.abc import Collection
 from typing import NewType
@@ -17,6 +18,7 @@
 
 from corianderrill import names
 from corianderrill.gateway import view
+from corianderrill.platform import decoding
 
 Key = NewType("Key", str)
 LeaseId = NewType("LeaseId", int)
@@ -38,6 +40,7 @@
 ERA_HEADER = "Store-Era"
 # In a watch that is sent to an aggregator.
 ERA_FIELD = "era"
+_ERA = re.compile(r"[0-9]{1,18}")
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
 KEY_PATH = "/api/kv-key"
@@ -121,33 +124,33 @@
 
 class _WireItem(msgspec.Struct):
     key: str
-    revision: int
+    revision: decoding.Integer
     # In standard base64.
     value: str | None = None
     deleted: bool = False
     # 0 for a key without a lease.
-    lease: int = 0
+    lease: decoding.Integer = 0
 
 
 class _WireLease(msgspec.Struct):
-    lease: int
+    lease: decoding.Integer
 
 
 class _WireTransaction(msgspec.Struct):
-    revision: int
+    revision: decoding.Integer
 
 
 class _WireRange(msgspec.Struct):
     items: list[_WireItem]
     # The store revision of the reply.
-    at: int
+    at: decoding.Integer
     has_more: bool = False
 
 
 class _WireWatch(msgspec.Struct):
     events: list[_WireItem]
     # The store revision up to which the events are complete.
-    at: int
+    at: decoding.Integer
     # Set by an aggregator that answers in place of the store.
     removals_untrusted_ms: float = 0.0
 
@@ -400,8 +403,8 @@
 
     def _decode(self, decoder: msgspec.json.Decoder, body: bytes) -> msgspec.Struct:
         try:
-            return decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return decoding.decode(decoder, body)
+        except decoding.DecodingError as error:
             raise StoreError(FailureKind.MALFORMED, str(error)) from error
 
 
@@ -435,7 +438,7 @@
     """Return the era that a reply names. Raise StoreError if it is no number."""
     if text is None:
         return view.StoreEra(0)
-    if not (text.isascii() and text.isdigit()):
+    if not _ERA.fullmatch(text):
         raise StoreError(FailureKind.MALFORMED, f"{ERA_HEADER}: {text[:40]!r}")
     return view.StoreEra(int(text))
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -86,6 +86,72 @@
         decode_server(**changes)
 
 
+# Guards against a decoder that lets another error than its own through: a deeply nested
+# entry ended the thread that follows the store, on all hosts.
+@pytest.mark.parametrize("field", ["colour", "born"])
+@pytest.mark.parametrize("closing", [b"", b"]" * 100_000 + b"}"], ids=["cut", "whole"])
+def test_deeply_nested_entry_is_rejected(field, closing):
+    value = b'{"%b":' % field.encode() + b"[" * 100_000 + closing
+    for decode in (
+        documents.decode_registration,
+        documents.decode_demand,
+        documents.decode_notes,
+    ):
+        with pytest.raises(documents.DocumentError):
+            decode("servers/i-1", value)
+    with pytest.raises(documents.DocumentError):
+        documents.decode_configuration(value)
+    with pytest.raises(documents.DocumentError):
+        documents.decode_aggregator("aggregators/zone-a/1", value)
+
+
+# Guards against numbers that later arithmetic or a log line can't take.
+@pytest.mark.parametrize("field", ["born", "seq_no", "capacity"])
+@pytest.mark.parametrize("number", [10**30, 10**400, -(10**30)])
+def test_entry_with_a_number_too_large_is_rejected(field, number):
+    with pytest.raises(documents.DocumentError):
+        decode_server(**{field: number})
+
+
+# Guards against addresses that raise when they are parsed or connected to, or that
+# would be looked up by name, which blocks the process.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.128.0.9:\u00b2",
+        "10.128.0.9:0",
+        "10.128.0.9:65536",
+        "10.128.0.9:" + "9" * 5_000,
+        "10.128.0.9:+80",
+        "10.128.0.9: 80",
+        "shard.example:8080",
+        "localhost:8080",
+        "10.128.0:8080",
+        "10.128.0.256:8080",
+        "10.128.0.9\n:8080",
+        "10.128.0.9\0:8080",
+        "[::1]:8080",
+    ],
+)
+def test_entry_with_an_address_that_cannot_be_used_is_rejected(address):
+    with pytest.raises(documents.DocumentError):
+        decode_server(address=address)
+
+
+# Guards against an id that would add a header to the requests that name it.
+@pytest.mark.parametrize("name", ["", "i 1", "i\r\nX-A: b", "i\0", "\u0130", "i" * 193])
+def test_entry_under_a_key_that_names_no_replica_is_rejected(name):
+    value = json.dumps(SERVER).encode()
+    with pytest.raises(documents.DocumentError):
+        documents.decode_registration(f"servers/{name}", value)
+
+
+@pytest.mark.parametrize("slot", ["", "-1", "\u00b2", "9" * 5_000, "one"])
+def test_aggregator_key_without_a_slot_number_is_rejected(slot):
+    with pytest.raises(documents.DocumentError):
+        documents.parse_aggregator_key(f"aggregators/zone-a/{slot}")
+
+
 @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{", b'"ready"'])
 def test_entry_that_is_not_a_json_object_is_rejected(value):
     with pytest.raises(documents.DocumentError):
