Start long-lived tasks again that an unexpected exception ended

Change: a supervisor logs the trace, counts the failure and starts the task again with growing delays; a host whose essential tasks fail again and again is not ready. An item of the store that raises is skipped alone.

--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -22,6 +22,7 @@
     demand,
     demand_reporter,
     event_log,
+    listeners,
     loop,
     pools,
     quarantine,
@@ -34,6 +35,7 @@
     store_probe,
     store_relay,
     store_watcher,
+    supervisor,
     view,
     wsgi_app,
     zone_health,
@@ -43,7 +45,6 @@
 LOG_FLUSH_INTERVAL_S = 0.1
 EXPIRY_CHECK_INTERVAL_S = 0.25
 SETTINGS_CHECK_INTERVAL_S = 2.0
-LISTEN_BACKLOG = 1024
 MAX_CALLER_CONNECTIONS = 3000
 METRICS_PATH = "/metrics"
 INTERNAL_SOCKET_TIMEOUT_S = 30.0
@@ -90,6 +91,7 @@
         rng = random.Random()
         self._pools = pools.PoolManager(retry_budget.MIN_HOSTS)
         meter = metrics.Recorder()
+        self._supervisor = supervisor.Supervisor(self.log, meter, rng)
         self._demand = demand.DemandDirectory(host_settings.host)
         self._quarantine = quarantine.Quarantine(rng)
         self._shared = shared_state.SharedState(
@@ -191,29 +193,29 @@
     def run(self) -> status.ExitStatus:
         """Serve until SIGTERM or SIGINT; return the exit status."""
         host_settings = self._host_settings
-        self._listener = eventlet.listen(
-            (host_settings.listen_address.ip, host_settings.listen_address.port),
-            backlog=LISTEN_BACKLOG,
-        )
-        readiness_listener = eventlet.listen(
-            (host_settings.readiness_address.ip, host_settings.readiness_address.port)
-        )
-        metrics_listener = eventlet.listen(
-            (host_settings.metrics_address.ip, host_settings.metrics_address.port)
-        )
+        self._listener = listeners.listen(host_settings.listen_address, self.log)
+        readiness_listener = listeners.listen(host_settings.readiness_address, self.log)
+        metrics_listener = listeners.listen(host_settings.metrics_address, self.log)
         signal.signal(signal.SIGTERM, self._on_termination_signal)
         signal.signal(signal.SIGINT, self._on_termination_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
-        eventlet.spawn(self._store_watcher.run)
-        eventlet.spawn(self._store_probe.run)
-        self._demand_task = eventlet.spawn(self._demand_reporter.run)
-        eventlet.spawn(self._crash_notes.run)
-        eventlet.spawn(self._drop_expired_replicas_and_connections)
-        eventlet.spawn(self._flush_log)
-        eventlet.spawn(self._check_settings)
-        eventlet.spawn(_serve_internal, readiness_listener, self._respond_to_readiness)
-        eventlet.spawn(_serve_internal, metrics_listener, self._respond_to_metrics)
-        self._server = eventlet.spawn(self._serve_callers)
+        start = self._supervisor.start
+        start("store-watcher", self._store_watcher.run, is_essential=True)
+        start("store-probe", self._store_probe.run)
+        self._demand_task = start("demand", self._demand_reporter.run)
+        start("crash-notes", self._crash_notes.run)
+        start("expiry", self._drop_expired_replicas_and_connections)
+        start("log", self._flush_log)
+        start("settings", self._check_settings)
+        start(
+            "readiness",
+            lambda: _serve_internal(readiness_listener, self._respond_to_readiness),
+        )
+        start(
+            "metrics",
+            lambda: _serve_internal(metrics_listener, self._respond_to_metrics),
+        )
+        self._server = start("callers", self._serve_callers, is_essential=True)
         if host_settings.aggregation_address is not None:
             self._listen_for_delegated_queries(host_settings.aggregation_address)
         self.log.record(
@@ -231,9 +233,11 @@
         return status.ExitStatus.SUCCESS
 
     def _listen_for_delegated_queries(self, address: names.Address) -> None:
-        listener = eventlet.listen((address.ip, address.port), backlog=LISTEN_BACKLOG)
-        eventlet.spawn(self._serve, listener, self._aggregator_app)
-        eventlet.spawn(self._aggregator_role.run)
+        listener = listeners.listen(address, self.log)
+        self._supervisor.start(
+            "aggregation", lambda: self._serve(listener, self._aggregator_app)
+        )
+        self._supervisor.start("aggregator-role", self._aggregator_role.run)
 
     def _serve_callers(self) -> None:
         self._serve(self._listener, self._app)
@@ -342,7 +346,11 @@
 
     def _is_ready(self) -> bool:
         has_configuration = self._view.configuration is not None
-        return has_configuration and not self._app.is_shutting_down
+        return (
+            has_configuration
+            and not self._app.is_shutting_down
+            and self._supervisor.is_healthy()
+        )
 
     def _respond_to_readiness(
         self, path: str
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import traceback
 from collections.abc import Collection, Iterable
 
 from corianderrill.gateway import (
@@ -16,6 +17,8 @@
 )
 from corianderrill.platform import documents, store
 
+MAX_REASON_CHARACTERS = 300
+
 
 @dataclasses.dataclass(slots=True)
 class StoreChanges:
@@ -40,18 +43,28 @@
         self.limits.directory.enter_era()
 
     def apply(self, items: Iterable[store.Item], now: float) -> None:
-        """Apply items as they were written, or their removal."""
+        """Apply items as they were written, or their removal.
+
+        One that fails in an unexpected way is skipped; the others hold.
+        """
         for item in items:
-            if item.key == documents.CONFIGURATION_KEY:
-                self._apply_configuration(item)
-            elif item.key.startswith(documents.SERVER_KEY_PREFIX):
-                self._apply_registration_item(item, now)
-            elif item.key.startswith(documents.AGGREGATOR_KEY_PREFIX):
-                self._apply_aggregator_item(item)
-            elif item.key.startswith(documents.DEMAND_KEY_PREFIX):
-                self._apply_demand_item(item, now)
-            elif item.key.startswith(documents.CRASH_KEY_PREFIX):
-                self._apply_crash_item(item, now)
+            try:
+                self._apply_item(item, now)
+            except Exception as error:
+                trace = "".join(traceback.format_exception(error))
+                self._record_skipped_item(item, trace[-MAX_REASON_CHARACTERS:])
+
+    def _apply_item(self, item: store.Item, now: float) -> None:
+        if item.key == documents.CONFIGURATION_KEY:
+            self._apply_configuration(item)
+        elif item.key.startswith(documents.SERVER_KEY_PREFIX):
+            self._apply_registration_item(item, now)
+        elif item.key.startswith(documents.AGGREGATOR_KEY_PREFIX):
+            self._apply_aggregator_item(item)
+        elif item.key.startswith(documents.DEMAND_KEY_PREFIX):
+            self._apply_demand_item(item, now)
+        elif item.key.startswith(documents.CRASH_KEY_PREFIX):
+            self._apply_crash_item(item, now)
 
     def _apply_crash_item(self, item: store.Item, now: float) -> None:
         try:
@@ -183,7 +196,9 @@
 
     def _record_skipped_item(self, item: store.Item, reason: str) -> None:
         self.log.record(
-            event_log.EntrySkipped(item.key, item.revision, reason[:300], self.era)
+            event_log.EntrySkipped(
+                item.key, item.revision, reason[:MAX_REASON_CHARACTERS], self.era
+            )
         )
 
     def remove_unlisted(
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -117,7 +117,7 @@
         self.min_batch_delay_s = BATCH_DELAY_RATIO * max_apply_delay_s
 
     def run(self) -> None:
-        """Read all keys and watch for changes, until the process ends."""
+        """Read all keys and watch for changes; return only by an unexpected error."""
         is_current = False
         while True:
             try:
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -222,6 +222,12 @@
 GATEWAY_QUARANTINED = _count(
     "gateway_quarantined", "Requests refused since they had crashed replicas."
 )
+GATEWAY_TASK_FAILURES = _count(
+    "gateway_task_failures",
+    "Unexpected errors of long-lived tasks, which started again, by task.",
+    ("task",),
+    16,
+)
 GATEWAY_BROKEN_EXCHANGES = _count(
     "gateway_broken_exchanges",
     "Connections that broke before a reply, by what became of the replica.",
--- a/tests/test_gateway_store_changes.py
+++ b/tests/test_gateway_store_changes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from corianderrill.gateway import quarantine, store_changes
+from corianderrill.gateway import event_log, quarantine, store_changes
 from corianderrill.platform import documents, store
 from tests.utils import fake_stores, gateway_rig
 from tests.utils import gateway_builders as builders
@@ -138,3 +138,26 @@
     changes.enter_era(2, 10.0)
     changes.apply([store.Item(key, 60, encode_configuration(5))], 10.0)
     assert read_version(changes) == 9
+
+
+# Guards against an entry that ends the application of all others: it raised an error
+# that nobody had expected, and the thread that follows the store ended with it.
+def test_item_that_raises_is_skipped_and_the_others_hold(monkeypatch):
+    changes = build_changes()
+    decode = documents.decode_registration
+
+    def raise_for_one(key, value):
+        if key == "servers/odd":
+            raise RuntimeError("nobody expected this")
+        return decode(key, value)
+
+    monkeypatch.setattr(documents, "decode_registration", raise_for_one)
+    items = [
+        store.Item(store.Key("servers/odd"), 5, b"{}"),
+        store.Item(store.Key("servers/i-1"), 6, encode_server("ready", 1)),
+    ]
+    changes.apply(items, 1.0)
+    assert changes.view.list_replica_ids() == {"i-1"}
+    (skipped,) = changes.log.list_of(event_log.EntrySkipped)
+    assert skipped.key == "servers/odd"
+    assert "nobody expected this" in skipped.reason
