Send at most one attempt of a request over each connection

Cause: attempts of one request share its id, and nothing else on the wire tells them apart.

Change: the pool gives a request no connection that has carried it, and closes an idle one where its limit leaves no room for another. Delegated queries follow the same rule.

--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -32,6 +32,8 @@
     deadline_at: float
     goal_at: float
     loop: loop.Loop
+    # Those that carried an attempt of the request.
+    used_connections: set[connections.Connection]
 
     def handle_attempt_end(
         self,
@@ -91,9 +93,18 @@
         """Record when sending the request starts."""
         self.sent_at = self.owner.loop.now()
 
+    def may_use(self, connection: connections.Connection) -> bool:
+        """Return whether no attempt of the request was sent on a connection.
+
+        All have the same id. A second copy of the reply to an earlier one, which may
+        come late, could not be told from the reply to this one.
+        """
+        return connection not in self.owner.used_connections
+
     def attach(self, connection: connections.Connection) -> None:
-        """Assign a connection to an attempt that was queued for one."""
+        """Assign the connection that carries the attempt."""
         self.connection = connection
+        self.owner.used_connections.add(connection)
 
     def owns_reply(self, headers: list[tuple[bytes, bytes]]) -> bool:
         """Return whether a reply echoes the id of the request, or none."""
--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -73,6 +73,12 @@
 
     idempotent: bool
 
+    def may_use(self, connection: "Connection") -> bool:
+        """Return whether an idle connection may carry the request."""
+
+    def attach(self, connection: "Connection") -> None:
+        """Accept the connection that is going to carry the request."""
+
     def render(self) -> bytes:
         """Return the bytes of the request; called just before they are sent."""
 
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -116,6 +116,7 @@
             attempts.SubRequest(service, index)
             for service, index in zip(services, indexes, strict=True)
         ]
+        self.used_connections: set[connections.Connection] = set()
         self._mode = mode
         self._delegations: list[delegation.Delegation] = []
         # Without answers that come after the outcome, while the response is built.
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -83,6 +83,7 @@
     version: routes.ConfigurationVersion
     goal_at: float
     deadline_at: float
+    used_connections: set[connections.Connection]
 
     def handle_delegation_end(self, delegation: "Delegation") -> None:
         """Process the answer of an aggregator, or the lack of one."""
@@ -156,9 +157,14 @@
         """Record that the aggregator may get the query."""
         self._was_sent = True
 
+    def may_use(self, connection: connections.Connection) -> bool:
+        """Return whether no other delegation of the query was sent on a connection."""
+        return connection not in self._owner.used_connections
+
     def attach(self, connection: connections.Connection) -> None:
-        """Assign a connection to a query that was queued for one."""
+        """Assign the connection that carries the query."""
         self._connection = connection
+        self._owner.used_connections.add(connection)
 
     def owns_reply(self, headers: list[tuple[bytes, bytes]]) -> bool:
         """Return whether a reply echoes the id of the request, or none."""
--- a/corianderrill/gateway/pools.py
+++ b/corianderrill/gateway/pools.py
@@ -67,17 +67,34 @@
         if not self.concurrency.allows(self.count_pending()):
             self._queue.add(request)
             return None
+        connection = self._acquire(request)
+        if connection is None:
+            self._queue.add(request)
+        return connection
+
+    def _acquire(
+        self, request: connections.OutboundRequest
+    ) -> connections.Connection | None:
+        """Send a request on an idle connection or a new one; None if none is free."""
         connection = self._acquire_idle(request)
         if connection is not None:
+            request.attach(connection)
             connection.send(request)
             return connection
-        if len(self._connections) >= self.max_connections:
-            self._queue.add(request)
+        if len(self._connections) >= self.max_connections and not self._close_one():
             return None
         return self._open(request)
 
+    def _close_one(self) -> bool:
+        """Close an idle connection that no request may use, if there is any."""
+        if not self._idle:
+            return False
+        self._idle[0].close_idle()
+        return len(self._connections) < self.max_connections
+
     def _open(self, request: connections.OutboundRequest) -> connections.Connection:
         connection = connections.Connection(self, request)
+        request.attach(connection)
         self._connections.add(connection)
         self.opened_count += 1
         connection.connect()
@@ -87,16 +104,18 @@
         self, request: connections.OutboundRequest
     ) -> connections.Connection | None:
         now = loop.read_clock()
-        while self._idle:
-            connection = self._idle[-1]
+        # The one that was used last comes first.
+        for connection in reversed(self._idle.copy()):
+            if connection not in self._idle:
+                continue
             reusable_for_s = min(connection.idle_timeout_s, self.max_idle_s)
             if not request.idempotent:
                 reusable_for_s *= NON_IDEMPOTENT_IDLE_SHARE
-            if now - connection.idle_since < reusable_for_s:
-                return self._idle.pop()
-            # `_idle` is ordered by last use: if the last connection was idle for too
-            # long, so were all others.
-            connection.close_idle()
+            if now - connection.idle_since >= reusable_for_s:
+                connection.close_idle()
+            elif request.may_use(connection):
+                self._idle.remove(connection)
+                return connection
         return None
 
     def release(self, connection: connections.Connection) -> None:
@@ -115,13 +134,7 @@
         """Send queued requests, as many as connections and concurrency allow."""
         while self._queue and self.concurrency.allows(self.count_pending()):
             request = self._queue.pop(loop.read_clock())
-            connection = self._acquire_idle(request)
-            if connection is not None:
-                request.attach(connection)
-                connection.send(request)
-            elif len(self._connections) < self.max_connections:
-                request.attach(self._open(request))
-            else:
+            if self._acquire(request) is None:
                 self._queue.add(request)
                 return
 
--- a/tests/utils/scripted_servers.py
+++ b/tests/utils/scripted_servers.py
@@ -43,6 +43,9 @@
     def on_interim_reply(self):
         self.interim_replies += 1
 
+    def may_use(self, connection):
+        return True
+
     def attach(self, connection):
         self.connection = connection
 
