Take a reply that names no request for no answer

Cause: a missing id passed for the right one, and refusals were looked for before the id.

Change: such a reply is unusable, so an unsafe request ends with 502.

--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -58,18 +58,18 @@
 
 
 def classify_reply(reply: Reply, request_id: names.RequestId) -> AttemptOutcome:
-    """Return the outcome of a complete reply; one for another request is unusable."""
-    if reply.echoed_request_id is not None and reply.echoed_request_id != request_id:
+    """Return the outcome of a complete reply.
+
+    One that names another request, or none, is unusable: it may belong to an earlier
+    exchange, so it does not say whether this request was executed.
+    """
+    if reply.echoed_request_id != request_id:
         return AttemptOutcome.UNUSABLE
     if reply.is_misdirected:
         return AttemptOutcome.MISDIRECTED
     if reply.not_executed:
         return AttemptOutcome.NOT_EXECUTED
-    if (
-        reply.signature is None
-        or reply.has_content_encoding
-        or reply.echoed_request_id is None
-    ):
+    if reply.signature is None or reply.has_content_encoding:
         return AttemptOutcome.UNUSABLE
     if 200 <= reply.status < 300:
         return AttemptOutcome.SUCCESS
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -427,9 +427,10 @@
     def handle_request(self, environ: dict[str, Any]) -> HttpResponse:
         """Execute a request, or reply 421 if it is for another server."""
         expected = environ.get("HTTP_X_EXPECT_INSTANCE")
-        if expected is not None and expected != self.id:
-            return "421 Misdirected Request", {"X-Instance-Id": self.id}, b""
         request_id = environ["HTTP_X_REQUEST_ID"]
+        if expected is not None and expected != self.id:
+            headers = {"X-Request-Id": request_id, "X-Instance-Id": self.id}
+            return "421 Misdirected Request", headers, b""
         body = environ["wsgi.input"].read()
         self.requests.append(request_id)
         eventlet.sleep(self.delay_s)
--- a/tests/test_gateway_repeated_refusals.py
+++ b/tests/test_gateway_repeated_refusals.py
@@ -54,3 +54,26 @@
         runs = [run for replica in replicas for run in replica.runs]
         assert runs.count(f"booking-{number}") == 1
         assert response.status == 200
+
+
+def refuse_without_a_name(replica, connection, request_id):
+    """Send a refusal that names no request, late, before the answer to the next one."""
+    if request_id.startswith("booking"):
+        replica.runs.append(request_id)
+        connection.sendall(raw_replicas.UNNAMED_REFUSAL)
+        eventlet.sleep(RUN_S)
+        connection.sendall(raw_replicas.build_success(request_id))
+        return
+    replica.run(connection, request_id)
+
+
+# Guards against an unsafe request that runs twice: bytes that look like a refusal and
+# name no request were taken for its answer.
+def test_refusal_that_names_no_request_does_not_repeat_an_unsafe_one(tmp_path):
+    with run_rig(tmp_path, refuse_without_a_name) as (rig, replicas):
+        response, _ = rig.send_request("/raw/x", "booking", body=b"x")
+        eventlet.sleep(2 * RUN_S)
+        runs = [run for replica in replicas for run in replica.runs]
+        assert runs.count("booking") == 1
+        # Not 503: that would promise that it has not run.
+        assert response.status == 502
