Count a request as in flight until the last byte of its answer is written

Cause: a request counted as in flight until its answer was known; nothing waited for answers that were still being written. The answers of aggregators had the same fault.

Change: in_flight.InFlightRequests counts both; the WSGI server closes the response body when it was written or can't be, which ends the count.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -13,6 +13,7 @@
     delegation,
     delegation_messages,
     event_log,
+    in_flight,
     routes,
     shared_state,
     store_relay,
@@ -48,7 +49,7 @@
             MAX_IN_FLIGHT_QUERIES_PER_CORE * capacity_cores, MIN_IN_FLIGHT_QUERIES
         )
         self._relay = relay
-        self.in_flight = 0
+        self.in_flight = in_flight.InFlightRequests()
         self.is_shutting_down = False
 
     def get_header_timeout_s(self) -> float:
@@ -63,10 +64,10 @@
         self, environ: dict[str, object], start_response: wsgi_app.StartResponse
     ) -> Iterable[bytes]:
         """Serve one delegated query or call to the store (the WSGI entry point)."""
-        if environ["RAW_PATH_INFO"] in STORE_PATHS:
-            response = self._relay_call(environ)
-        else:
-            response = self._serve_counted(environ)
+        is_query = environ["RAW_PATH_INFO"] not in STORE_PATHS
+        response = (
+            self._serve_counted(environ) if is_query else self._relay_call(environ)
+        )
         if self.is_shutting_down:
             environ["corianderrill.connection"].close_connection = True
         headers = [
@@ -76,7 +77,9 @@
         ]
         phrase = _REASON_PHRASES[response.status]
         start_response(f"{response.status} {phrase}", headers)
-        return [response.body]
+        if not is_query:
+            return [response.body]
+        return in_flight.ResponseBody(response.body, self.in_flight.end_writing)
 
     def _relay_call(self, environ: dict[str, object]) -> wsgi_app.Response:
         body = self._relay.answer(
@@ -91,11 +94,14 @@
         return wsgi_app.Response(200, headers, body)
 
     def _serve_counted(self, environ: dict[str, object]) -> wsgi_app.Response:
-        self.in_flight += 1
+        self.in_flight.begin()
         try:
             return self._serve(environ)
+        except BaseException:
+            self.in_flight.end_writing()
+            raise
         finally:
-            self.in_flight -= 1
+            self.in_flight.end_serving()
 
     def _serve(self, environ: dict[str, object]) -> wsgi_app.Response:
         received_at = self._shared.loop.now()
@@ -113,7 +119,7 @@
         route = configuration.find_route(host, path)
         if route is None or not _covers(route, terms.shards):
             return self._refuse(request_id, "no-route")
-        if self.is_shutting_down or self.in_flight > self._max_in_flight:
+        if self.is_shutting_down or self.in_flight.served > self._max_in_flight:
             return self._refuse(request_id, "no-capacity")
         sock = environ["eventlet.input"].get_socket()
         if not _confirm(sock):
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -315,7 +315,7 @@
         Requests in flight may finish within the grace time.
         """
         started_at = loop.read_clock()
-        self.log.record(event_log.Stopping(signal_name, self._app.in_flight))
+        self.log.record(event_log.Stopping(signal_name, self._app.in_flight.unwritten))
         self._app.is_shutting_down = True
         self._aggregator_app.is_shutting_down = True
         self._store_relay.close()
@@ -340,7 +340,7 @@
         self._stopped.send(None)
 
     def _count_in_flight(self) -> int:
-        return self._app.in_flight + self._aggregator_app.in_flight
+        return self._app.in_flight.unwritten + self._aggregator_app.in_flight.unwritten
 
     # Readiness and metrics.
 
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -17,7 +17,7 @@
     configuration = shared.view.configuration
     version = 0 if configuration is None else configuration.version
     meter.set(metrics.REVISION, version)
-    meter.set(metrics.GATEWAY_IN_FLIGHT, front_end.in_flight)
+    meter.set(metrics.GATEWAY_IN_FLIGHT, front_end.in_flight.served)
     meter.set(metrics.GATEWAY_CONNECTIONS, shared.pools.count_opened())
     limited_count = len(shared.view.list_rate_limited())
     meter.set(metrics.GATEWAY_RATE_LIMITED_REPLICAS, limited_count)
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -14,6 +14,7 @@
     crash_notes,
     delegation,
     event_log,
+    in_flight,
     quarantine,
     replicas,
     replies,
@@ -81,7 +82,7 @@
         self._target_selector = targets.TargetSelector(shared.rng)
         self._started_at = shared.loop.now()
         self._last_zone_probe_at = 0.0
-        self.in_flight = 0
+        self.in_flight = in_flight.InFlightRequests()
         self.is_shutting_down = False
 
     def __call__(
@@ -89,11 +90,14 @@
     ) -> Iterable[bytes]:
         """Serve one request (the WSGI entry point)."""
         received_at = self._shared.loop.now()
-        self.in_flight += 1
+        self.in_flight.begin()
         try:
             response = self._serve(environ, received_at)
+        except BaseException:
+            self.in_flight.end_writing()
+            raise
         finally:
-            self.in_flight -= 1
+            self.in_flight.end_serving()
         if self.is_shutting_down or response is None:
             environ["corianderrill.connection"].close_connection = True
         if response is None:
@@ -101,7 +105,7 @@
         phrase = _REASON_PHRASES.get(response.status, "Unknown")
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
         start_response(f"{response.status} {phrase}", headers)
-        return [response.body]
+        return in_flight.ResponseBody(response.body, self.in_flight.end_writing)
 
     def get_header_timeout_s(self) -> float:
         """Return how long a caller may take to send the headers, in seconds."""
@@ -136,7 +140,7 @@
             return self._refuse_unknown_route(request_id)
         if not request_id:
             return self._refuse(request_id, route.name, 400, "no-request-id")
-        if self.in_flight > MAX_IN_FLIGHT_REQUESTS:
+        if self.in_flight.served > MAX_IN_FLIGHT_REQUESTS:
             return self._refuse(
                 request_id, route.name, 503, "too-many-in-flight", MIN_RETRY_AFTER_S
             )
@@ -360,7 +364,7 @@
                 status=status,
                 reason=reason,
                 retry_after_s=retry_after_s,
-                in_flight=self.in_flight,
+                in_flight=self.in_flight.served,
                 view_age_ms=self._get_view_age_ms(),
             )
         )
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -10,6 +10,10 @@
 from tests.utils import gateway_rig
 
 
+# The answer of 1.5 MB below then ends within the grace of a stop, but late in it.
+SLOW_READER_BYTES_PER_S = 400_000
+
+
 @pytest.fixture
 def rig(tmp_path):
     with gateway_rig.run(tmp_path) as running:
@@ -325,3 +329,27 @@
     rig.publish_configuration(version=2, single={"prefix": "/new-single/"})
     rig.store.is_down = False
     rig.wait_until(lambda: rig.send_request("/new-single/x")[0].status == 200)
+
+
+# Guards against answers that a stopping host cuts while it still writes them.
+def test_sigterm_waits_for_a_caller_that_reads_its_answer_slowly(rig):
+    body = b"a" * 1_500_000
+    ip, _, port = rig.gateway_address.partition(":")
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_460)
+    caller.connect((ip, int(port)))
+    rig.single_server.records = (body,)
+    head = (
+        f"POST /single/x HTTP/1.1\r\nHost: {gateway_rig.HOST}\r\n"
+        "X-Request-Id: read\r\nX-Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nq"
+    )
+    caller.sendall(head.encode())
+    rig.wait_until(lambda: "read" in rig.single_server.requests)
+    eventlet.sleep(0.3)
+    rig.terminate()
+    received = b""
+    while data := caller.recv(32_768):
+        received += data
+        eventlet.sleep(len(data) / SLOW_READER_BYTES_PER_S)
+    assert received.endswith(body)
