Answer each request before a planned stop ends

Cause: a stopping host accepted requests with the deadline of the caller, past its own exit, and exited whatever was in flight.

Change: a request gets a deadline within the grace; if less than its latency goal is left, it is refused at once as not run. What has no answer shortly before the exit is answered with 504, or with 503 where nothing was sent. Works for aggregators too.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -163,10 +163,12 @@
         watcher = caller_connections.DisconnectWatcher(
             sock, query.handle_caller_disconnect, delay_s=0.0
         )
+        self.in_flight.forwarded.add(query)
         try:
             query.start()
             outcome = _wait_and_confirm(outcome_event, sock)
         finally:
+            self.in_flight.forwarded.discard(query)
             watcher.stop()
         self._record(inbound, query, outcome)
         return _build_response(query, outcome)
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -653,6 +653,11 @@
         if self.outcome is None:
             self._finish(RequestOutcome.CALLER_DISCONNECTED)
 
+    def handle_shutdown(self) -> None:
+        """End the request because the process is about to exit."""
+        if self.outcome is None:
+            self._finish(self._classify_timeout())
+
     def _finish(self, outcome: RequestOutcome) -> None:
         self.outcome = outcome
         if self._timer is not None:
--- a/corianderrill/gateway/in_flight.py
+++ b/corianderrill/gateway/in_flight.py
@@ -2,6 +2,14 @@
 
 import dataclasses
 from collections.abc import Callable, Iterator
+from typing import Protocol
+
+
+class Forwarded(Protocol):
+    """A request that was forwarded and has no outcome yet."""
+
+    def handle_shutdown(self) -> None:
+        """End the request now, as the process is about to exit."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,6 +22,7 @@
 
     served: int = 0
     unwritten: int = 0
+    forwarded: set[Forwarded] = dataclasses.field(default_factory=set)
 
     def begin(self) -> None:
         """Count a request that is about to be served."""
@@ -28,6 +37,11 @@
         """Record that the response was written, or that its caller has left."""
         self.unwritten -= 1
 
+    def end_forwarded(self) -> None:
+        """End all requests that have no outcome, so that they can be answered."""
+        for request in list(self.forwarded):
+            request.handle_shutdown()
+
 
 class ResponseBody:
     """A response body; the server calls `close` when it was written or can't be."""
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -54,6 +54,8 @@
 # The process exits this long before the platform would kill it.
 SHUTDOWN_GRACE_MARGIN_S = 0.3
 SHUTDOWN_POLL_INTERVAL_S = 0.02
+# Of the time before the exit, kept for writing the answers of what has not ended.
+SHUTDOWN_ANSWER_TIME_S = 0.25
 # For a caller that stalls while it sends a request or reads a response.
 CALLER_SOCKET_TIMEOUT_S = 60.0
 # If no ready replica is left, a draining replica may still be used for this share of
@@ -312,11 +314,16 @@
     def _shut_down(self, signal_name: str) -> None:
         """Report not ready, close connections after their response, then stop.
 
-        Requests in flight may finish within the grace time.
+        Requests in flight may finish within the grace time. Those that do not are
+        answered before it is over.
         """
-        started_at = loop.read_clock()
-        self.log.record(event_log.Stopping(signal_name, self._app.in_flight.unwritten))
-        self._app.is_shutting_down = True
+        exit_at = (
+            loop.read_clock()
+            + self._host_settings.bounds.grace_s
+            - SHUTDOWN_GRACE_MARGIN_S
+        )
+        self.log.record(event_log.Stopping(signal_name, self._count_in_flight()))
+        self._app.must_end_at = exit_at - SHUTDOWN_ANSWER_TIME_S
         self._aggregator_app.is_shutting_down = True
         self._store_relay.close()
         eventlet.spawn(self._aggregator_role.retire)
@@ -329,9 +336,10 @@
         eventlet.sleep(0)
         # New connections are now refused at once instead of waiting in the backlog.
         self._listener.close()
-        grace_s = self._host_settings.bounds.grace_s - SHUTDOWN_GRACE_MARGIN_S
-        while self._count_in_flight() and loop.read_clock() - started_at < grace_s:
-            eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
+        self._wait_for_in_flight(self._app.must_end_at)
+        self._app.in_flight.end_forwarded()
+        self._aggregator_app.in_flight.end_forwarded()
+        self._wait_for_in_flight(exit_at)
         # Leaves time to send the last responses.
         eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
         unanswered = self._count_in_flight()
@@ -339,6 +347,11 @@
         self.log.record(event_log.Stopped(ending, unanswered))
         self._stopped.send(None)
 
+    def _wait_for_in_flight(self, until: float) -> None:
+        """Wait until all requests have their answer, or until a time."""
+        while self._count_in_flight() and loop.read_clock() < until:
+            eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
+
     def _count_in_flight(self) -> int:
         return self._app.in_flight.unwritten + self._aggregator_app.in_flight.unwritten
 
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -83,7 +83,13 @@
         self._started_at = shared.loop.now()
         self._last_zone_probe_at = 0.0
         self.in_flight = in_flight.InFlightRequests()
-        self.is_shutting_down = False
+        # When the last answer has to be known, once the process shuts down.
+        self.must_end_at: float | None = None
+
+    @property
+    def is_shutting_down(self) -> bool:
+        """Whether the process was told to stop."""
+        return self.must_end_at is not None
 
     def __call__(
         self, environ: dict[str, object], start_response: StartResponse
@@ -156,20 +162,42 @@
             return self._refuse(request_id, route.name, 400, "body-malformed")
         if body is None:
             return self._refuse(request_id, route.name, 413, "body-too-large")
+        time_limit_s = self._compute_time_limit_s(headers, route, received_at)
+        if time_limit_s is None:
+            return self._refuse(
+                request_id, route.name, 503, "shutting-down", MIN_RETRY_AFTER_S
+            )
         query = environ.get("QUERY_STRING")
-        deadline_s = requests.parse_deadline(
-            requests.find_header(headers, requests.DEADLINE_MS_HEADER)
-        )
         inbound = requests.build_inbound_request(
             environ["REQUEST_METHOD"],
             f"{path}?{query}" if query else path,
             headers,
             body,
-            deadline_s or route.timeout_s,
+            time_limit_s,
             received_at,
         )
         return self._forward(environ, inbound, route)
 
+    def _compute_time_limit_s(
+        self,
+        headers: list[tuple[str, str]],
+        route: routes.Route,
+        received_at: float,
+    ) -> float | None:
+        """Return the time from the arrival of a request until its deadline.
+
+        Return None if the process shuts down and exits before the route's latency goal.
+        """
+        limit_s = requests.parse_deadline(
+            requests.find_header(headers, requests.DEADLINE_MS_HEADER)
+        )
+        limit_s = limit_s or route.timeout_s
+        if self.must_end_at is None:
+            return limit_s
+        if self.must_end_at - self._shared.loop.now() < route.goal_s:
+            return None
+        return min(limit_s, self.must_end_at - received_at)
+
     def _refuse_unknown_route(self, request_id: str) -> Response:
         """Refuse a request that has no route, which may have been added meanwhile."""
         if self._shared.view.is_current(self._shared.loop.now()):
@@ -234,10 +262,12 @@
             environ["eventlet.input"].get_socket(),
             request_coordinator.handle_caller_disconnect,
         )
+        self.in_flight.forwarded.add(request_coordinator)
         try:
             request_coordinator.start()
             outcome = outcome_event.wait()
         finally:
+            self.in_flight.forwarded.discard(request_coordinator)
             disconnect_watcher.stop()
         if is_trial and outcome is coordinator.RequestOutcome.NOT_EXECUTED:
             self._crash_notes.quarantine.return_trial(inbound.fingerprint)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 
 import eventlet
 import pytest
@@ -9,7 +10,6 @@
 from corianderrill.standins import platform
 from tests.utils import gateway_rig
 
-
 # The answer of 1.5 MB below then ends within the grace of a stop, but late in it.
 SLOW_READER_BYTES_PER_S = 400_000
 
@@ -331,6 +331,68 @@
     rig.wait_until(lambda: rig.send_request("/new-single/x")[0].status == 200)
 
 
+def start_upload(rig, request_id, length):
+    """Send the head of an unsafe request whose body is still to come; return both."""
+    ip, _, port = rig.gateway_address.partition(":")
+    caller = socket.create_connection((ip, int(port)))
+    head = (
+        f"POST /single/x HTTP/1.1\r\nHost: {gateway_rig.HOST}\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: 20000\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    )
+    caller.sendall(head.encode())
+    return caller
+
+
+def read_to_end(caller):
+    received = b""
+    while data := caller.recv(65_536):
+        received += data
+    return received
+
+
+# Guards against requests that are taken late in the grace of a planned stop and cut at
+# its end without an answer.
+def test_request_that_cannot_end_within_the_grace_is_refused_at_once(rig):
+    rig.publish_configuration(
+        version=2, single={"timeout_ms": 20_000, "latency_goal_ms": 1_500}
+    )
+    rig.single_server.delay_s = 1.0
+    eventlet.sleep(1.5)
+    caller = start_upload(rig, "late", 1)
+    rig.send_request("/gather/x", "read-by-now")
+    rig.terminate()
+    eventlet.sleep(5.0)
+    sent_at = time.monotonic()
+    caller.sendall(b"q")
+    answer = read_to_end(caller)
+    assert answer.startswith(b"HTTP/1.1 503"), answer
+    assert b"Retry-After" in answer
+    assert time.monotonic() - sent_at < 0.3
+    assert "late" not in rig.single_server.requests
+
+
+# Guards against unsafe requests that end with their connection, and no answer, when a
+# replica needs longer than the grace of a planned stop.
+def test_request_that_does_not_end_within_the_grace_is_answered_before_it_is_over(rig):
+    rig.publish_configuration(version=2, single={"timeout_ms": 20_000})
+    rig.single_server.delay_s = 12.0
+    eventlet.sleep(1.5)
+    slow = eventlet.spawn(
+        rig.send_request,
+        "/single/x",
+        "slow",
+        body=b"q",
+        headers={"X-Deadline-Ms": "20000"},
+    )
+    rig.wait_until(lambda: "slow" in rig.single_server.requests)
+    rig.terminate()
+    response, _ = slow.wait()
+    assert response.status == 504
+    records = [json.loads(line)["record"] for line in rig.read_output().splitlines()]
+    assert records[-1] == {"event": "stopped", "ending": "finished", "cut_off": 0}
+
+
 # Guards against answers that a stopping host cuts while it still writes them.
 def test_sigterm_waits_for_a_caller_that_reads_its_answer_slowly(rig):
     body = b"a" * 1_500_000
