Bound the memory of small pieces, and take any bytes of a replica

A 101 reply raised an error of another type in a callback of the event loop, which then forgot the connection, and so did a Keep-Alive header of 5,000 digits.

Change: the body is one buffer, a reply has at most 256 headers, and these replies are malformed, or the header is ignored. A property test feeds any bytes, split anywhere.

--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -34,6 +34,7 @@
 # (`Keep-Alive: timeout=N`). It is not reused during this last part of that time.
 IDLE_TIMEOUT_MARGIN_S = 0.6
 DEFAULT_IDLE_TIMEOUT_S = 4.0
+MAX_IDLE_TIMEOUT_DIGITS = 9
 # 18 is the value of this option on Linux.
 TCP_USER_TIMEOUT = getattr(stdlib_socket, "TCP_USER_TIMEOUT", 18)
 
@@ -287,7 +288,7 @@
             if name == b"keep-alive":
                 _, _, seconds = value.partition(b"timeout=")
                 digits = seconds.split(b",")[0].strip()
-                if digits.isdigit():
+                if digits.isdigit() and len(digits) <= MAX_IDLE_TIMEOUT_DIGITS:
                     self.idle_timeout_s = max(0.0, int(digits) - IDLE_TIMEOUT_MARGIN_S)
 
     def _become_idle(self) -> None:
--- a/corianderrill/gateway/reply_reader.py
+++ b/corianderrill/gateway/reply_reader.py
@@ -11,6 +11,8 @@
 import httptools
 
 MAX_REPLY_HEAD_BYTES = 262_144
+# Each header takes many times the memory of its bytes.
+MAX_REPLY_HEADERS = 256
 MAX_REPLY_BODY_BYTES = 4 * 1_048_576
 # Interim replies, chunk headers and replies to other requests count as well.
 MAX_EXCHANGE_BYTES = MAX_REPLY_HEAD_BYTES + 2 * MAX_REPLY_BODY_BYTES
@@ -45,8 +47,7 @@
     def __init__(self, owner: ReplyOwner) -> None:
         self._owner = owner
         self._parser = httptools.HttpResponseParser(self)
-        self._body_pieces: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._has_headers = False
         self._is_body_delimited = False
         self._is_complete = False
@@ -62,18 +63,24 @@
             return Progress.TOO_LARGE
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # No request asks for another protocol.
+            return Progress.MALFORMED
         except httptools.HttpParserError:
             if not self._is_complete:
                 return Progress.MALFORMED
             self.is_reusable = False
-        return Progress.COMPLETE if self._is_complete else Progress.INCOMPLETE
+        if self._is_complete:
+            return Progress.COMPLETE
+        return Progress.TOO_LARGE if self._is_too_large() else Progress.INCOMPLETE
 
     def _is_too_large(self) -> bool:
         """Return whether the server sends more than any reply that is accepted."""
         if not self._has_headers and self.received_bytes > MAX_REPLY_HEAD_BYTES:
-            return not self._body_bytes
+            return not self._body
         return (
-            self._body_bytes > MAX_REPLY_BODY_BYTES
+            len(self._body) > MAX_REPLY_BODY_BYTES
+            or len(self.headers) > MAX_REPLY_HEADERS
             or self.received_bytes > MAX_EXCHANGE_BYTES
         )
 
@@ -87,12 +94,12 @@
 
     def join_body(self) -> bytes:
         """Return the body that was received."""
-        return b"".join(self._body_pieces)
+        return bytes(self._body)
 
     def close(self) -> None:
         """Let go of the parser, the headers and the body."""
         self._parser = None
-        self._body_pieces = []
+        self._body = bytearray()
         self.headers = []
 
     # Callbacks of the parser.
@@ -104,7 +111,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header of the reply."""
-        if not self._is_complete:
+        if not self._is_complete and len(self.headers) <= MAX_REPLY_HEADERS:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -122,8 +129,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a piece of the body."""
         if not self._is_complete:
-            self._body_pieces.append(body)
-            self._body_bytes += len(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete, unless the reply to the request is still to come.
@@ -136,8 +142,7 @@
         is_interim = self.status < 200
         if is_interim or not self._owner.owns_reply(self.headers):
             self.headers = []
-            self._body_pieces = []
-            self._body_bytes = 0
+            self._body = bytearray()
             self._has_headers = False
             self.is_reusable = self.is_reusable and is_interim
             if is_interim:
