Read all keys when the store answers other calls, but no watch

Cause: a watch that says nothing is interrupted by a probe, but was followed by another watch, for good, though reads of the store brought all that was missing. A store that resets each watch had the same effect.

Change: a watch that stays silent while the store has changes, or a second one that fails after a successful probe, is followed by a read of all keys.

--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -86,6 +86,13 @@
     era: int = 0
 
 
+class WatchSilent(msgspec.Struct, tag="store-watch-silent", tag_field="event"):
+    """A watch gets no reply though the store has changes; all keys are read again."""
+
+    revision: int
+    era: int = 0
+
+
 class StoreRestored(msgspec.Struct, tag="store-restored", tag_field="event"):
     """A reply of the store names a later era: it has come back from an older copy.
 
@@ -370,6 +377,7 @@
     | StoreLost
     | StoreReturned
     | HistoryLost
+    | WatchSilent
     | StoreRestored
     | ConfigurationSeen
     | ReplicaSeen
--- a/corianderrill/gateway/store_probe.py
+++ b/corianderrill/gateway/store_probe.py
@@ -105,7 +105,7 @@
         if watcher.watching_since == watching_since and watcher.revision < revision:
             watcher.interrupt(
                 store.StoreError(
-                    store.FailureKind.UNREACHABLE,
+                    store.FailureKind.SILENT,
                     f"no reply to a watch, though revision {revision} exists",
                 )
             )
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -87,6 +87,8 @@
     watching_since: float | None = None
     watched_client: store.StoreClient | None = None
     _consecutive_failures: int = 0
+    # Whether the store answered a probe, but not the watch that followed.
+    _are_watches_failing: bool = False
     _watch_thread: greenthread.GreenThread | None = None
     _changes: store_changes.StoreChanges = dataclasses.field(init=False)
     _relay_clients: dict[names.Address, store.StoreClient] = dataclasses.field(
@@ -190,11 +192,17 @@
         wait_s = WATCH_WAIT_S
         if self.outage_started_at is not None:
             # A probe is cheaper than a watch that fails. Its reply may be old.
-            era = self.client.probe_revision().era
-            if era > self.era:
-                raise _describe_era(era, self.era)
+            probe = self.client.probe_revision()
+            if probe.era > self.era:
+                raise _describe_era(probe.era, self.era)
+            if self._are_watches_failing and probe.revision > self.revision:
+                self._read_all()
+                return
+            # Until a watch succeeds, for the store has answered just now.
+            self._are_watches_failing = True
             wait_s = WATCH_WAIT_AFTER_FAILURE_S
         batch = self._wait_for_changes(self.client, wait_s)
+        self._are_watches_failing = False
         self._apply_batch(batch)
         if 0 < len(batch.items) < MIN_BACKLOG_CHANGES:
             # Few hosts are aggregators, and what one reads late reaches others later.
@@ -295,6 +303,9 @@
         if error.kind is store.FailureKind.HISTORY_LOST:
             self.log.record(event_log.HistoryLost(self.revision, self.era))
             return
+        if error.kind is store.FailureKind.SILENT:
+            self.log.record(event_log.WatchSilent(self.revision, self.era))
+            return
         if error.kind is store.FailureKind.RESTORED:
             # The line that tells of the new era follows when all keys are read. Most
             # hosts notice at the same time.
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -61,7 +61,8 @@
 
     HISTORY_LOST means that the store has compacted the revision that a watch asked for,
     RESTORED that it has come back from an older copy since, and OUTDATED that the reply
-    is from before it came back.
+    is from before it came back. SILENT means that a watch got no reply, though the
+    store answers other calls and has changes.
     """
 
     UNREACHABLE = "unreachable"
@@ -70,6 +71,7 @@
     HISTORY_LOST = "history-lost"
     RESTORED = "restored"
     OUTDATED = "outdated"
+    SILENT = "silent"
     MALFORMED = "malformed"
 
 
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -28,6 +28,8 @@
     def __init__(self):
         self.revision = 5
         self.is_silent = False
+        self.are_watches_silent = False
+        self.are_watches_reset = False
         self.era = 1
         self.watches = []
         self.probe_count = 0
@@ -49,6 +51,11 @@
     def watch(self, prefix, after, wait_s):
         self._fail_if_silent()
         self.watches.append(after)
+        if self.are_watches_reset:
+            eventlet.sleep(0.01)
+            raise store.StoreError(store.FailureKind.UNREACHABLE, "reset")
+        while self.are_watches_silent:
+            eventlet.sleep(0.05)
         if after >= self.revision:
             eventlet.sleep(wait_s)
         return store.Batch((), self.revision, self.era)
@@ -136,6 +143,26 @@
     assert watched.client.watches[-1] >= 5
 
 
+# Guards against hosts that stay at one version for minutes: the store answered reads
+# and probes, but no watch, and each silent watch was followed by another one.
+def test_changes_arrive_while_the_store_answers_no_watch(watched):
+    watched.client.are_watches_silent = True
+    for _ in range(3):
+        watched.client.revision += 1
+        watched.wait_until(lambda: watched.watcher.revision == watched.client.revision)
+    watched.view.max_unconfirmed_s = 4 * APPLY_DELAY_S
+    assert watched.view.is_current(watched.watcher.clock())
+    assert watched.log.list_of(event_log.WatchSilent)
+
+
+# Guards against the same for a store that ends each watch and answers all else.
+def test_changes_arrive_while_the_store_resets_each_watch(watched):
+    watched.client.are_watches_reset = True
+    for _ in range(3):
+        watched.client.revision += 1
+        watched.wait_until(lambda: watched.watcher.revision == watched.client.revision)
+
+
 def test_watch_without_changes_stays_open_while_the_store_answers_probes(watched):
     watch_count = len(watched.client.watches)
     probe_count = watched.client.probe_count
