Follow a store that keeps naming a lower era

Change: a reply of a lower era counts as late for ten seconds. If the store has named nothing else by then, all keys are read anew in its era.

--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -47,6 +47,9 @@
 # In an outage shorter than this, no registration lapses. After a longer one, removals
 # are not trusted for `view.RECOVERY_GRACE_S`.
 MIN_LAPSE_OUTAGE_S = 0.8
+# For so long replies of an earlier era may come late. A store that names nothing else
+# after that counts its eras anew.
+MAX_OUTDATED_S = 10.0
 ALL_KEYS_PREFIX = ""
 
 # The next call is to be like the one that failed; after others all keys are read.
@@ -87,6 +90,9 @@
     watching_since: float | None = None
     watched_client: store.StoreClient | None = None
     _consecutive_failures: int = 0
+    # When the first of the replies came that name an earlier era, with none of this era
+    # since.
+    _outdated_since: float | None = None
     # Whether the store answered a probe, but not the watch that followed.
     _are_watches_failing: bool = False
     _watch_thread: greenthread.GreenThread | None = None
@@ -131,6 +137,7 @@
             except store.StoreError as error:
                 is_current = is_current and error.kind in _KEEPS_REVISION
                 self._handle_failure(error)
+                is_current = is_current and not self.is_era_lower_for_good()
 
     def _read_all(self) -> None:
         """Read all keys and remove the replicas that have no entry.
@@ -254,6 +261,9 @@
     def record_probe(self, reply: store.Batch) -> None:
         """Record a reply to a probe: the store is at its revision or a later one."""
         self.last_reply_at = self.clock()
+        self._note_era(reply.era)
+        if self.is_era_lower_for_good():
+            self.interrupt(_describe_era(reply.era, self.era))
         if reply.era == self.era and reply.revision <= self.revision:
             self.view.confirmed_at = self.last_reply_at
 
@@ -261,6 +271,7 @@
         """Record a reply; `is_current` unless the store allowed it to be stale."""
         now = self.clock()
         self._consecutive_failures = 0
+        self._outdated_since = None
         if is_current:
             self.view.confirmed_at = now
         self.last_reply_at = now
@@ -276,13 +287,26 @@
 
     def _check_era(self, era: view.StoreEra) -> None:
         """Raise StoreError if a reply has revisions of another era than this host."""
+        self._note_era(era)
         if era != self.era:
             raise _describe_era(era, self.era)
 
     def _refuse_outdated(self, era: view.StoreEra) -> None:
-        if era < self.era:
+        self._note_era(era)
+        if era < self.era and not self.is_era_lower_for_good():
             raise _describe_era(era, self.era)
 
+    def _note_era(self, era: view.StoreEra) -> None:
+        if era >= self.era:
+            self._outdated_since = None
+        elif self._outdated_since is None:
+            self._outdated_since = self.clock()
+
+    def is_era_lower_for_good(self) -> bool:
+        """Return whether the store has named nothing but earlier eras for long."""
+        since = self._outdated_since
+        return since is not None and self.clock() - since >= MAX_OUTDATED_S
+
     def _enter_era(self, era: view.StoreEra, now: float) -> bool:
         """Go on in the era of the keys that were read; return whether it is a new one.
 
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -209,6 +209,25 @@
     assert watched.view.confirmed_at == confirmed_at
 
 
+# Guards against hosts that stay at one version for good, since a store that began to
+# count its eras anew is taken for one that is late.
+def test_store_whose_era_stays_lower_is_followed_after_a_while(watched, monkeypatch):
+    monkeypatch.setattr(store_watcher, "MAX_OUTDATED_S", 0.3)
+    watched.client.era, watched.client.revision = 3, 8
+    watched.wait_until(lambda: watched.watcher.era == 3)
+    watched.client.era, watched.client.revision = 1, 20
+    watched.wait_until(lambda: watched.watcher.era == 1)
+    assert watched.watcher.revision == 20
+
+
+def test_replies_of_a_lower_era_are_refused_for_a_while(watched):
+    watched.client.era, watched.client.revision = 3, 8
+    watched.wait_until(lambda: watched.watcher.era == 3)
+    watched.client.era, watched.client.revision = 1, 20
+    eventlet.sleep(1.0)
+    assert (watched.watcher.era, watched.watcher.revision) == (3, 8)
+
+
 def test_page_of_a_later_era_than_the_first_one_is_not_mixed_with_it(watched):
     pages = [store.Batch((), 4, 2, has_more=False), store.Batch((), 9, 1, True)]
     watched.client.read_range = lambda *_: pages.pop()
