Heed replicas that announce their leaving, or ask for a pause

Change: both are decoded in platform/requests. The view takes a process that announced its leaving for draining, whatever the store says of it; an aggregator tells the hosts that ask it. A replica that wants a pause gets nothing until it is over: not by retries, hedges, trials, queues or connections that are being opened. If all want one, the request is refused at once, with the time of the first return, spread by a quarter. Such a refusal counts neither as a failure nor toward ejection and concurrency.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -1,7 +1,7 @@
 """The WSGI application that answers the queries that other hosts delegate."""
 
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import eventlet
 from eventlet import event
@@ -14,6 +14,7 @@
     delegation_messages,
     event_log,
     in_flight,
+    replica_notices,
     routes,
     shared_state,
     store_relay,
@@ -29,6 +30,8 @@
 CONFIRMATION_INTERVAL_S = 0.1
 # Hosts may keep an idle connection for this long.
 KEEP_ALIVE_S = 30
+# How long an aggregator tells other hosts that a replica leaves.
+LEAVING_NEWS_S = 30.0
 
 STORE_PATHS = (store.RANGE_PATH, store.WATCH_PATH)
 
@@ -70,8 +73,10 @@
         )
         if self.is_shutting_down:
             environ["corianderrill.connection"].close_connection = True
+        leaving = self._list_leaving() if is_query else ()
         headers = [
             *response.headers,
+            *delegation_messages.list_leaving_headers(leaving),
             ("Keep-Alive", f"timeout={KEEP_ALIVE_S}"),
             ("Content-Length", str(len(response.body))),
         ]
@@ -81,6 +86,14 @@
             return [response.body]
         return in_flight.ResponseBody(response.body, self.in_flight.end_writing)
 
+    def _list_leaving(self) -> Iterator[replica_notices.LeavingProcess]:
+        """Yield the processes of replicas that announced recently that they leave."""
+        since = self._shared.loop.now() - LEAVING_NEWS_S
+        for registration in self._shared.view.list_leaving(since):
+            yield replica_notices.LeavingProcess(
+                registration.id, registration.started_at_ms
+            )
+
     def _relay_call(self, environ: dict[str, object]) -> wsgi_app.Response:
         body = self._relay.answer(
             environ["RAW_PATH_INFO"], environ.get("QUERY_STRING") or ""
--- a/corianderrill/gateway/attempt_records.py
+++ b/corianderrill/gateway/attempt_records.py
@@ -12,6 +12,11 @@
 
 # An attempt without a reply after this many hedge delays is reported as overdue.
 OVERDUE_HEDGE_DELAYS = 2.0
+# A replica that asked for a pause is not to blame for these.
+_OUTCOMES_OF_A_PAUSE = (
+    replies.AttemptOutcome.NOT_EXECUTED,
+    replies.AttemptOutcome.UNSENT,
+)
 
 
 def record_outcome(
@@ -22,6 +27,9 @@
 ) -> None:
     """Record the end of an attempt for its replica, pool and route."""
     replica = attempt.replica
+    if replica.is_quiet(now) and outcome in _OUTCOMES_OF_A_PAUSE:
+        replica.forget_attempt(attempt)
+        return
     match outcome:
         case replies.AttemptOutcome.SUCCESS:
             latency_s = now - (attempt.sent_at or attempt.started_at)
--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -93,6 +93,10 @@
         """Record when sending the request starts."""
         self.sent_at = self.owner.loop.now()
 
+    def may_send(self) -> bool:
+        """Return whether the replica has not asked for a pause since."""
+        return not self.replica.is_quiet(self.owner.loop.now())
+
     def may_use(self, connection: connections.Connection) -> bool:
         """Return whether no attempt of the request was sent on a connection.
 
@@ -176,7 +180,9 @@
     def list_replicas_to_retry(self) -> list[replicas.Replica]:
         """Return the replicas that refused exactly once; each may be retried once."""
         refused = [
-            attempt.replica for attempt in self.attempts if attempt.outcome == "not-run"
+            attempt.replica
+            for attempt in self.attempts
+            if attempt.outcome == replies.AttemptOutcome.NOT_EXECUTED.value
         ]
         return [replica for replica in refused if refused.count(replica) == 1]
 
--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -47,6 +47,8 @@
     CLOSED = "closed"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
+    # The server has asked for a pause before the request was sent.
+    HELD_BACK = "held-back"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +76,9 @@
 
     idempotent: bool
 
+    def may_send(self) -> bool:
+        """Return whether the server still wants the request, just before it is sent."""
+
     def may_use(self, connection: "Connection") -> bool:
         """Return whether an idle connection may carry the request."""
 
@@ -179,7 +184,12 @@
         if self._request is None:
             self._become_idle()
             return
-        self._begin_exchange()
+        if self._request.may_send():
+            self._begin_exchange()
+        else:
+            request, self._request = self._request, None
+            self._become_idle()
+            request.on_result(FailedExchange(Failure.HELD_BACK, sent=False))
 
     def send(self, request: OutboundRequest) -> None:
         """Send a request on an idle connection."""
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import itertools
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from corianderrill import metrics, names
@@ -471,6 +472,10 @@
                 outcome = replies.classify_reply(reply, self.request.id)
                 if outcome not in _OUTCOMES_OF_OTHER_SENDERS:
                     self.shared.rate_limits.record_reply(attempt.replica, reply, now)
+                if outcome is not replies.AttemptOutcome.MISDIRECTED:
+                    self.shared.notices.record_reply(
+                        attempt.replica, reply, attempt.pool, now
+                    )
             case connections.FailedExchange(sent=sent):
                 reply = None
                 self.shared.crash_watch.record_break(
@@ -658,8 +663,19 @@
         if self.outcome is None:
             self._finish(self._classify_timeout())
 
+    def _compute_pause_s(self, now: float) -> float:
+        """Return when enough replicas want requests again, in seconds from now."""
+        pauses_s = sorted(
+            self._selector.compute_pause_s(sub_request.service, now)
+            for sub_request in self.sub_requests
+        )
+        return pauses_s[self._required_count - 1]
+
     def _finish(self, outcome: RequestOutcome) -> None:
         self.outcome = outcome
+        if outcome is RequestOutcome.NOT_EXECUTED and self.retry_after_s is None:
+            pause_s = self._compute_pause_s(self.loop.now())
+            self.retry_after_s = pause_s if 0.0 < pause_s < math.inf else None
         if self._timer is not None:
             self._timer.cancel()
         pending = [
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 import itertools
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Protocol
 
 from corianderrill import metrics, names
@@ -19,6 +19,7 @@
     delegation_messages,
     event_log,
     pools,
+    replica_notices,
     routes,
     send_queue,
     shared_state,
@@ -157,6 +158,10 @@
         """Record that the aggregator may get the query."""
         self._was_sent = True
 
+    def may_send(self) -> bool:
+        """Return True; an aggregator that wants no query refuses it."""
+        return True
+
     def may_use(self, connection: connections.Connection) -> bool:
         """Return whether no other delegation of the query was sent on a connection."""
         return connection not in self._owner.used_connections
@@ -195,6 +200,11 @@
                 return Outcome.UNSENT
             case connections.FailedExchange():
                 return Outcome.FAILED
+        try:
+            self._record_leaving(delegation_messages.parse_leaving(result))
+        except delegation_messages.MessageError:
+            # The log line of the delegation tells that it failed.
+            return Outcome.FAILED
         if delegation_messages.is_refusal(result):
             self.retry_after_s = delegation_messages.parse_retry_after(result)
             return Outcome.REFUSED if self.retry_after_s is None else Outcome.LIMITED
@@ -210,6 +220,13 @@
             return Outcome.FAILED
         return Outcome.ANSWERED
 
+    def _record_leaving(
+        self, leaving: Iterable[replica_notices.LeavingProcess]
+    ) -> None:
+        now = self._shared.loop.now()
+        for process in leaving:
+            self._shared.notices.record_leaving(process, now)
+
     def _handle_timer(self) -> None:
         if self.outcome is None:
             self._close()
--- a/corianderrill/gateway/delegation_messages.py
+++ b/corianderrill/gateway/delegation_messages.py
@@ -7,11 +7,19 @@
 """
 
 import dataclasses
+import itertools
 import math
+import re
 from collections.abc import Iterable, Sequence
 
 from corianderrill import names
-from corianderrill.gateway import connections, routes, top_records
+from corianderrill.gateway import (
+    connections,
+    replica_notices,
+    replicas,
+    routes,
+    top_records,
+)
 from corianderrill.platform import requests
 
 VERSION_HEADER = "X-Query-Version"
@@ -20,7 +28,11 @@
 GOAL_MS_HEADER = "X-Query-Goal-Ms"
 HEDGE_AFTER_MS_HEADER = "X-Query-Hedge-After-Ms"
 MAY_DELEGATE_HEADER = "X-Query-May-Delegate"
+# Processes of replicas that have announced to the aggregator that they leave.
+LEAVING_HEADER = "X-Query-Leaving"
+MAX_LEAVING = 64
 MAX_MASK_DIGITS = 4_096
+_START_TIME = re.compile(r"-?[0-9]{1,18}|")
 CONFIRMATION = b"HTTP/1.1 102 Processing\r\n\r\n"
 # A caller's own headers of these names are not passed on to replicas.
 _OWN_HEADERS = frozenset(
@@ -165,6 +177,38 @@
     return Answer(shards, signatures, reply.body)
 
 
+def list_leaving_headers(
+    leaving: Iterable[replica_notices.LeavingProcess],
+) -> list[tuple[str, str]]:
+    """Return the headers that name the processes that leave; none without any."""
+    entries = [
+        f"{process.id}/{'' if process.started_at_ms is None else process.started_at_ms}"
+        for process in itertools.islice(leaving, MAX_LEAVING)
+    ]
+    return [(LEAVING_HEADER, ",".join(entries))] if entries else []
+
+
+def parse_leaving(
+    reply: connections.RawReply,
+) -> tuple[replica_notices.LeavingProcess, ...]:
+    """Return the processes that an aggregator's reply names as leaving.
+
+    Raise MessageError if their list is invalid.
+    """
+    text = dict(reply.headers).get(LEAVING_HEADER.lower().encode(), b"")
+    entries = text.decode("latin-1").split(",")[:MAX_LEAVING] if text else []
+    return tuple(map(_parse_leaving_process, entries))
+
+
+def _parse_leaving_process(entry: str) -> replica_notices.LeavingProcess:
+    replica_id, _, started_at = entry.strip().rpartition("/")
+    if not replica_id or not _START_TIME.fullmatch(started_at):
+        raise MessageError(f"expected a replica and its start, found {entry[:80]!r}")
+    return replica_notices.LeavingProcess(
+        replicas.InstanceId(replica_id), int(started_at) if started_at else None
+    )
+
+
 def is_refusal(reply: connections.RawReply) -> bool:
     """Return whether the aggregator has not begun to work on the query."""
     return reply.status == 503 and requests.says_not_executed(reply)
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -86,6 +86,30 @@
     era: int = 0
 
 
+class ReplicaLeaving(msgspec.Struct, tag="replica-leaving", tag_field="event"):
+    """A replica announced in a reply that it leaves.
+
+    `source` is the reply that this host got, or the aggregator that got one;
+    `started_at_ms` is the Unix time of the start of its process.
+    """
+
+    replica: str
+    started_at_ms: int | None
+    source: str
+
+
+class ReplicaQuiet(msgspec.Struct, tag="replica-quiet", tag_field="event"):
+    """A replica refused with a time until which it wants no requests of this host.
+
+    `detail` tells of a time that was bounded, or is no time.
+    """
+
+    replica: str
+    service: str
+    delay_s: float
+    detail: str = ""
+
+
 class WatchSilent(msgspec.Struct, tag="store-watch-silent", tag_field="event"):
     """A watch gets no reply though the store has changes; all keys are read again."""
 
@@ -378,6 +402,8 @@
     | StoreReturned
     | HistoryLost
     | WatchSilent
+    | ReplicaLeaving
+    | ReplicaQuiet
     | StoreRestored
     | ConfigurationSeen
     | ReplicaSeen
--- a/corianderrill/gateway/pools.py
+++ b/corianderrill/gateway/pools.py
@@ -138,6 +138,13 @@
                 self._queue.add(request)
                 return
 
+    def reject_held_back(self) -> None:
+        """End the queued requests that the server does not want any more."""
+        for request in self._queue.take_unsendable():
+            request.on_result(
+                connections.FailedExchange(connections.Failure.HELD_BACK, sent=False)
+            )
+
     def cancel_queued(self, request: connections.OutboundRequest) -> None:
         """Remove a request from the queue."""
         self._queue.discard(request)
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -28,6 +28,7 @@
     quarantine,
     query_rate,
     rate_limits,
+    replica_notices,
     request_rates,
     retry_budget,
     scrape,
@@ -113,6 +114,7 @@
             crash_watch=crash_watch.CrashWatch(
                 self._quarantine, self._view, self.log, meter
             ),
+            notices=replica_notices.ReplicaNotices(self._view, self.log, meter),
         )
         self._store_client = store.StoreClient(host_settings.store_address)
         self._crash_notes = crash_notes.CrashNotes(
--- a/corianderrill/gateway/replica_selector.py
+++ b/corianderrill/gateway/replica_selector.py
@@ -38,7 +38,11 @@
         If no further replica is allowed or left, one that refused once may be retried.
         """
         view = self.shared.view
-        refused = sub_request.list_replicas_to_retry()
+        refused = [
+            replica
+            for replica in sub_request.list_replicas_to_retry()
+            if view.is_in_use(replica, now)
+        ]
         if sub_request.count_attempted_replicas() >= self.max_attempts:
             return self._select_among(refused, now)
         tried = [attempt.replica for attempt in sub_request.attempts]
@@ -58,6 +62,7 @@
         tried: Collection[replicas.Replica] = (),
     ) -> replicas.Replica | None:
         shared = self.shared
+        candidates = [r for r in candidates if not r.is_quiet(now)]
         if shared.rate_limits.has_any():
             candidates = [
                 replica
@@ -74,6 +79,16 @@
             tried,
         )
 
+    def compute_pause_s(self, service: names.ServiceName, now: float) -> float:
+        """Return how long all replicas of a service want no requests; 0 if not all do.
+
+        Without any replica it is infinite.
+        """
+        view = self.shared.view
+        candidates = view.list_ready(service) or view.list_fallback(service, now)
+        pauses_s = (max(replica.quiet_until - now, 0.0) for replica in candidates)
+        return min(pauses_s, default=math.inf)
+
     def assess_limits(
         self, sub_request: attempts.SubRequest, now: float
     ) -> limit_plan.Need:
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -88,6 +88,7 @@
     decay with time. `rate_limit_per_s` is how many requests a second the replica takes
     from all hosts together, None without a limit; it was last seen at
     `rate_limit_seen_at`, and this host has used its share of it up to `next_slot_at`.
+    Until `quiet_until` the replica wants no requests of this host.
     """
 
     registration: Registration
@@ -110,6 +111,7 @@
     rate_limit_per_s: float | None = None
     rate_limit_seen_at: float = 0.0
     next_slot_at: float = 0.0
+    quiet_until: float = 0.0
 
     @property
     def id(self) -> InstanceId:
@@ -230,6 +232,10 @@
             return 0.0
         return now - next(iter(self.pending_attempts.values()))
 
+    def is_quiet(self, now: float) -> bool:
+        """Return whether the replica wants no requests of this host now."""
+        return now < self.quiet_until
+
     def is_fit_for_hedge(self, now: float) -> bool:
         """Return whether the replica has room and its last connection was opened.
 
--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -37,13 +37,29 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAfter:
+    """For how long a replica that refused wants no requests of this host."""
+
+    delay_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InvalidRetryAfter:
+    """Such a time that is not a number of seconds."""
+
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """A complete, decoded reply.
 
     `signature` proves which replica sent the reply; `echoed_request_id` names the
     request that it answers. `not_executed` and `is_misdirected` say that the server
-    did not execute the request. `rate_limit` is None if the replica advertises none.
+    did not execute the request. `rate_limit` is None if the replica advertises none,
+    `retry_after` if it does not ask for a pause. `is_leaving` says that its process is
+    about to stop.
     """
 
     status: int
@@ -55,6 +71,8 @@
     is_misdirected: bool
     has_content_encoding: bool
     rate_limit: RateLimit | InvalidRateLimit | None = None
+    retry_after: RetryAfter | InvalidRetryAfter | None = None
+    is_leaving: bool = False
 
 
 def classify_reply(reply: Reply, request_id: names.RequestId) -> AttemptOutcome:
--- a/corianderrill/gateway/send_queue.py
+++ b/corianderrill/gateway/send_queue.py
@@ -32,6 +32,9 @@
     def get_urgency(self, now: float) -> Urgency:
         """Return the rank of the request at a time."""
 
+    def may_send(self) -> bool:
+        """Return whether the server still wants the request."""
+
 
 class SendQueue:
     """Requests in the order in which they are sent."""
@@ -51,6 +54,12 @@
         if request in self._requests:
             self._requests.remove(request)
 
+    def take_unsendable(self) -> list[QueuedRequest]:
+        """Remove and return the requests that the server does not want any more."""
+        taken = [request for request in self._requests if not request.may_send()]
+        self._requests = [r for r in self._requests if r not in taken]
+        return taken
+
     def pop(self, now: float) -> QueuedRequest:
         """Remove and return the most urgent request; the oldest of equal ones."""
         request = min(self._requests, key=lambda queued: queued.get_urgency(now))
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -14,6 +14,7 @@
     pools,
     query_rate,
     rate_limits,
+    replica_notices,
     request_rates,
     retry_budget,
     routes,
@@ -42,6 +43,7 @@
     rate_limits: rate_limits.RateLimits
     request_rates: request_rates.RequestRates
     crash_watch: crash_watch.CrashWatch
+    notices: replica_notices.ReplicaNotices
     limit_planner: limit_plan.LimitPlanner = dataclasses.field(
         default_factory=limit_plan.LimitPlanner
     )
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -34,12 +34,22 @@
     FALLBACK = "spare"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Process:
+    """One process of a replica; without a start time its address tells it apart."""
+
+    started_at_ms: int | None
+    address: names.Address
+
+
 @dataclasses.dataclass(slots=True)
 class _Entry:
     """The last known state of one replica's key in the store."""
 
     revision: StoreRevision
+    # None if it is no longer in use; `former` is what it was until then.
     replica: replicas.Replica | None
+    former: replicas.Replica | None = None
     # The end of the fallback time, or None if the replica is ready. The value is kept
     # when that time is over: a draining replica writes its entry repeatedly and must
     # not get a second fallback time.
@@ -47,6 +57,8 @@
     # The last registration that was applied; kept when the replica is dropped.
     registration: replicas.Registration | None = None
     is_removed: bool = False
+    # The process that announced its leaving in a reply, if one did.
+    leaving: "_Process | None" = None
     # What is known is from an earlier era of the store, and was removed in it or not.
     is_from_earlier_era: bool = False
     was_removed: bool = False
@@ -75,6 +87,10 @@
     confirmed_at: float = -math.inf
     max_unconfirmed_s: float = math.inf
     era_since: float = -math.inf
+    # When the replicas announced their leaving that did, the last one last.
+    _announced_at: dict[replicas.InstanceId, float] = dataclasses.field(
+        default_factory=dict
+    )
     _entries: dict[replicas.InstanceId, _Entry] = dataclasses.field(
         default_factory=dict
     )
@@ -136,7 +152,12 @@
             return UpdateOutcome.STALE
         fallback_until = self._get_fallback_end(entry, registration, now)
         self._entries[registration.id] = _Entry(
-            revision, replica, fallback_until, registration
+            revision,
+            replica,
+            former=None if entry is None else entry.former,
+            fallback_until=fallback_until,
+            registration=registration,
+            leaving=None if entry is None else entry.leaving,
         )
         self._ready_by_service.clear()
         return UpdateOutcome.APPLIED
@@ -150,7 +171,11 @@
         of these entries. After a store outage, the entry may be read when the replica
         has already stopped, so the fallback time ends at once.
         """
-        if registration.state is not replicas.ReplicaState.DRAINING:
+        has_announced = entry is not None and entry.leaving == _get_process(
+            registration
+        )
+        is_draining = registration.state is replicas.ReplicaState.DRAINING
+        if not is_draining and not has_announced:
             return None
         if entry is not None and entry.fallback_until is not None:
             return entry.fallback_until
@@ -181,6 +206,43 @@
             entry.fallback_until = now + self.lapsed_fallback_s
         return UpdateOutcome.APPLIED
 
+    def mark_leaving(
+        self, replica_id: replicas.InstanceId, started_at_ms: int | None, now: float
+    ) -> bool:
+        """Take a process for draining that announced in a reply that it leaves.
+
+        No registration of that process undoes it. Return False if it was known, or if
+        the process is not the one that is registered.
+        """
+        entry = self._entries.get(replica_id)
+        if entry is None or entry.registration is None:
+            return False
+        process = _get_process(entry.registration)
+        if process.started_at_ms != started_at_ms or entry.leaving == process:
+            return False
+        entry.leaving = process
+        self._announced_at.pop(replica_id, None)
+        self._announced_at[replica_id] = now
+        if entry.fallback_until is None:
+            entry.fallback_until = now + self.drain_fallback_s
+        self._ready_by_service.clear()
+        return True
+
+    def list_leaving(self, since: float) -> list[replicas.Registration]:
+        """Return the registrations whose process announced its leaving since a time.
+
+        The last one comes first.
+        """
+        recent = itertools.takewhile(
+            lambda item: item[1] >= since, reversed(self._announced_at.items())
+        )
+        entries = (self._entries[replica_id] for replica_id, _ in recent)
+        return [
+            entry.registration
+            for entry in entries
+            if entry.leaving == _get_process(entry.registration)
+        ]
+
     def drop_expired(self, now: float) -> list[replicas.InstanceId]:
         """Drop the replicas whose fallback time has expired; return their ids."""
         expired = [
@@ -191,7 +253,8 @@
             and now >= entry.fallback_until
         ]
         for replica_id in expired:
-            self._entries[replica_id].replica = None
+            entry = self._entries[replica_id]
+            entry.replica, entry.former = None, entry.replica
         return expired
 
     def list_replica_ids(self) -> set[replicas.InstanceId]:
@@ -235,6 +298,13 @@
             and entry.replica.registration.service == service
         ]
 
+    def is_in_use(self, replica: replicas.Replica, now: float) -> bool:
+        """Return whether a replica may still get requests."""
+        entry = self._entries.get(replica.id)
+        if entry is None or entry.replica is not replica:
+            return False
+        return entry.fallback_until is None or now < entry.fallback_until
+
     def _group_ready_by_service(
         self,
     ) -> dict[names.ServiceName, list[replicas.Replica]]:
@@ -250,6 +320,23 @@
         }
 
 
+def _build_replica(
+    entry: _Entry | None, registration: replicas.Registration, warmup_ends_at: float
+) -> replicas.Replica:
+    """Return a replica without statistics; a pause that its process asked for holds."""
+    replica = replicas.Replica(registration, warmup_ends_at)
+    former = None if entry is None else entry.former
+    if former is not None and _get_process(former.registration) == _get_process(
+        registration
+    ):
+        replica.quiet_until = former.quiet_until
+    return replica
+
+
+def _get_process(registration: replicas.Registration) -> _Process:
+    return _Process(registration.started_at_ms, registration.address)
+
+
 def _get_service(replica: replicas.Replica) -> names.ServiceName:
     return replica.registration.service
 
@@ -279,7 +366,7 @@
     current = None if entry is None else entry.replica
     warmup_ends_at = now + registration.warmup_s
     if current is None:
-        return replicas.Replica(registration, warmup_ends_at)
+        return _build_replica(entry, registration, warmup_ends_at)
     previous = current.registration
     if None not in (previous.started_at_ms, registration.started_at_ms):
         if registration.started_at_ms < previous.started_at_ms:
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Callable, Iterable
 
 import eventlet
@@ -30,6 +31,8 @@
 # retry at the same time.
 MIN_RETRY_AFTER_S = 0.05
 RETRY_AFTER_JITTER_S = 0.15
+# As a share of the delay, for longer ones.
+RETRY_AFTER_JITTER = 0.25
 NO_CONFIGURATION_RETRY_AFTER_S = 0.2
 # A host has a configuration that the store confirmed within this time after its start,
 # if the store answers. Requests that arrive before wait for it.
@@ -69,6 +72,14 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is refused before it is forwarded, and when it may return."""
+
+    reason: str
+    retry_after_s: float
+
+
 class GatewayApp:
     """Validates the requests of callers, forwards them and records their outcome."""
 
@@ -234,9 +245,11 @@
         route: routes.Route,
     ) -> Response | None:
         services = self._target_selector.select_services(route)
-        reason = self._find_refusal_reason(route, services, inbound.received_at)
-        if reason is not None:
-            return self._refuse(inbound.id, route.name, 503, reason, MIN_RETRY_AFTER_S)
+        refusal = self._find_refusal(route, services, inbound.received_at)
+        if refusal is not None:
+            return self._refuse(
+                inbound.id, route.name, 503, refusal.reason, refusal.retry_after_s
+            )
         if isinstance(route.target, routes.ScatterGather):
             self._shared.query_rate.record(inbound.received_at)
         is_trial = self._try_claim_trial(inbound)
@@ -282,20 +295,27 @@
             return False
         return self._crash_notes.claim_trial(inbound.fingerprint)
 
-    def _find_refusal_reason(
+    def _find_refusal(
         self, route: routes.Route, services: tuple[str, ...], now: float
-    ) -> str | None:
+    ) -> Refusal | None:
         """Return why the request is refused, or None if it is forwarded.
 
-        It is refused if too few of its services have a replica in a zone that is not
-        suspected to be cut off.
+        It is refused if too few of its services have a replica that wants requests, in
+        a zone that is not suspected to be cut off.
         """
         required = route.count_required_replies(len(services))
         candidates_by_service = [
             self._list_candidates(service, now) for service in services
         ]
         if sum(map(bool, candidates_by_service)) < required:
-            return "no-replicas"
+            return Refusal("no-replicas", MIN_RETRY_AFTER_S)
+        pauses_s = [
+            min((r.quiet_until - now for r in candidates), default=math.inf)
+            for candidates in candidates_by_service
+        ]
+        pause_s = sorted(pauses_s)[required - 1]
+        if pause_s > 0.0:
+            return Refusal("replicas-quiet", max(pause_s, MIN_RETRY_AFTER_S))
         if (
             sum(
                 self._has_candidate_in_healthy_zone(candidates, now)
@@ -308,7 +328,7 @@
             # This request probes whether the zones are reachable again.
             self._last_zone_probe_at = now
             return None
-        return "zones-cut-off"
+        return Refusal("zones-cut-off", MIN_RETRY_AFTER_S)
 
     def _list_candidates(self, service: str, now: float) -> list[replicas.Replica]:
         view = self._shared.view
@@ -407,7 +427,8 @@
         return round(1000 * view.get_age_s(self._shared.loop.now()))
 
     def _build_retry_after(self, min_delay_s: float) -> tuple[str, str]:
-        delay_s = min_delay_s + RETRY_AFTER_JITTER_S * self._shared.rng.random()
+        spread_s = max(RETRY_AFTER_JITTER_S, RETRY_AFTER_JITTER * min_delay_s)
+        delay_s = min_delay_s + spread_s * self._shared.rng.random()
         return (requests.RETRY_AFTER_HEADER, f"{delay_s:.3f}")
 
     # Log records and metrics.
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -228,6 +228,12 @@
     ("task",),
     16,
 )
+GATEWAY_REPLICA_NOTICES = _count(
+    "gateway_replica_notices",
+    "Replicas that announced their leaving, or asked for no requests, by notice.",
+    ("notice",),
+    2,
+)
 GATEWAY_BROKEN_EXCHANGES = _count(
     "gateway_broken_exchanges",
     "Connections that broke before a reply, by what became of the replica.",
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -29,6 +29,11 @@
 _CONTENT_ENCODING_REPLY_HEADER = b"content-encoding"
 # The requests a second that an overloaded replica accepts from all hosts together.
 _RATE_LIMIT_REPLY_HEADER = b"server-limit"
+# Set to 1 by a replica that leaves, in all its replies.
+_LEAVING_REPLY_HEADER = b"server-leaving"
+# Beside status 503: the seconds in which the replica wants no requests of this host.
+_RETRY_AFTER_REPLY_HEADER = b"retry-after"
+STATUS_UNAVAILABLE = 503
 # Headers that are not forwarded; those listed in the Connection header are not either.
 # The gateway writes Content-Length itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -167,9 +172,28 @@
         is_misdirected=is_misdirected,
         has_content_encoding=_CONTENT_ENCODING_REPLY_HEADER in headers_by_name,
         rate_limit=_decode_rate_limit(headers_by_name.get(_RATE_LIMIT_REPLY_HEADER)),
+        retry_after=_decode_retry_after(raw),
+        is_leaving=headers_by_name.get(_LEAVING_REPLY_HEADER, b"").strip() == b"1",
     )
 
 
+def _decode_retry_after(
+    raw: connections.RawReply,
+) -> replies.RetryAfter | replies.InvalidRetryAfter | None:
+    """Return the pause that a refusal asks for; the longest if it names several."""
+    if raw.status != STATUS_UNAVAILABLE:
+        return None
+    texts = [
+        value.decode("latin-1").strip()
+        for name, value in raw.headers
+        if name == _RETRY_AFTER_REPLY_HEADER
+    ]
+    delays_s = [float(text) for text in texts if _DECIMAL_NUMBER.fullmatch(text)]
+    if delays_s:
+        return replies.RetryAfter(max(delays_s))
+    return replies.InvalidRetryAfter(texts[0]) if texts else None
+
+
 def _decode_rate_limit(
     value: bytes | None,
 ) -> replies.RateLimit | replies.InvalidRateLimit | None:
--- a/tests/utils/raw_replicas.py
+++ b/tests/utils/raw_replicas.py
@@ -23,7 +23,10 @@
         self.id = f"i-{os.getpid()}-{name}"
         self.runs = []
         self.refused = set()
+        self.is_leaving = False
+        self.is_quiet = False
         self._answer = answer
+        self._born = round(1000 * time.time())
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self._thread = eventlet.spawn(self._accept)
 
@@ -38,7 +41,7 @@
             "state": state,
             "warmup_left_ms": 0,
             "seq_no": 1,
-            "born": round(1000 * time.time()),
+            "born": self._born,
         }
         store.put(f"servers/{self.id}", json.dumps(entry).encode())
 
@@ -65,8 +68,8 @@
         self._listener.close()
 
 
-def build_refusal(request_id):
-    return REFUSAL % f"X-Request-Id: {request_id}\r\n".encode()
+def build_refusal(request_id, more=b""):
+    return REFUSAL % (f"X-Request-Id: {request_id}\r\n".encode() + more)
 
 
 def build_success(request_id, body=b"done", more=b""):
--- a/tests/utils/scripted_servers.py
+++ b/tests/utils/scripted_servers.py
@@ -21,6 +21,7 @@
         self, idempotent=True, request_bytes=b"GET / HTTP/1.1\r\n\r\n", goal_at=0.0
     ):
         self.idempotent = idempotent
+        self.is_wanted = True
         self.goal_at = goal_at
         self.request_bytes = request_bytes
         self.connection = None
@@ -43,6 +44,9 @@
     def on_interim_reply(self):
         self.interim_replies += 1
 
+    def may_send(self):
+        return self.is_wanted
+
     def may_use(self, connection):
         return True
 
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -19,6 +19,7 @@
     pools,
     query_rate,
     rate_limits,
+    replica_notices,
     request_rates,
     retry_budget,
     routes,
@@ -88,6 +89,8 @@
     silent: list = dataclasses.field(default_factory=list)
     down: list = dataclasses.field(default_factory=list)
     dark: list = dataclasses.field(default_factory=list)
+    leaving: list = dataclasses.field(default_factory=list)
+    quiet: list = dataclasses.field(default_factory=list)
     shed_share: float = 0.0
     fail_share: float = 0.0
     limits: list = dataclasses.field(default_factory=list)
@@ -113,6 +116,12 @@
         limits = [limit for start, end, limit in self.limits if start <= now < end]
         return min(limits, default=None)
 
+    def get_pause_s(self):
+        """Return the rest of a pause that the replica asks for; None without one."""
+        now = self.loop.now()
+        ends = [end for start, end in self.quiet if start <= now < end]
+        return max(ends) - now if ends else None
+
     def work(self, mean_s):
         """Return when a request that arrives now is done; None if it is shed."""
         now = self.loop.now()
@@ -182,6 +191,12 @@
         self.server.loop.call_later(0.0, self._send_queued)
         return None
 
+    def reject_held_back(self):
+        for sender in self._queue.take_unsendable():
+            sender.on_result(
+                connections.FailedExchange(connections.Failure.HELD_BACK, sent=False)
+            )
+
     def cancel_queued(self, sender):
         self._queue.discard(sender)
 
@@ -212,6 +227,12 @@
                 connections.FailedExchange(connections.Failure.UNREACHABLE, sent=False)
             )
             return
+        if not sender.may_send():
+            self._free_connection()
+            sender.on_result(
+                connections.FailedExchange(connections.Failure.HELD_BACK, sent=False)
+            )
+            return
         sender.render()
         sender.on_send_start()
         if self.server.is_in(self.server.silent):
@@ -223,6 +244,10 @@
         server = self.server
         server.arrivals += 1
         server.log.append((server.loop.now(), self.host))
+        pause_s = server.get_pause_s()
+        if pause_s is not None:
+            self._reply_later(0.0, sender, build_refusal(sender, pause_s))
+            return
         drawn = server.rng.random()
         done = None if drawn < server.shed_share else server.work(self.mean_s)
         if done is None:
@@ -231,7 +256,9 @@
         left_s = done - server.loop.now()
         failed = server.rng.random() < server.fail_share
         status = 500 if failed else 200
-        reply = build_reply(sender, status, server.limit())
+        reply = build_reply(
+            sender, status, server.limit(), server.is_in(server.leaving)
+        )
         self._reply_later(left_s, sender, reply)
 
     def _reply_later(self, left_s, sender, reply):
@@ -249,17 +276,21 @@
         sender.on_result(reply)
 
 
-def build_refusal(sender):
+def build_refusal(sender, pause_s=None):
     request_id = sender.owner.request.id.encode()
     headers = [(b"x-request-id", request_id), (b"x-not-executed", b"1")]
+    if pause_s is not None:
+        headers.append((b"retry-after", f"{pause_s:.3f}".encode()))
     return connections.RawReply(503, headers, b"")
 
 
-def build_reply(sender, status, limit=None):
+def build_reply(sender, status, limit=None, is_leaving=False):
     request_id = sender.owner.request.id.encode()
     headers = [(b"x-request-id", request_id), (b"x-server-stamp", b"signed")]
     if limit is not None:
         headers.append((b"server-limit", str(limit).encode()))
+    if is_leaving:
+        headers.append((b"server-leaving", b"1"))
     return connections.RawReply(status, headers, b"r" * 16)
 
 
@@ -360,6 +391,7 @@
             rate_limits=rate_limits.RateLimits(self.demand, log, meter, self.rng),
             request_rates=request_rates.RequestRates(0.0),
             crash_watch=builders.build_crash_watch(belief, log, self.loop.now),
+            notices=replica_notices.ReplicaNotices(belief, log, meter),
         )
         self.ended = []
         self.coordinators = []
