Let go of a finished request's attempts and parts by reference

Change: the coordinator lets go of them once the response has been built; what is still on its way holds what it needs itself.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -184,7 +184,9 @@
             self.in_flight.forwarded.discard(query)
             watcher.stop()
         self._record(inbound, query, outcome)
-        return _build_response(query, outcome)
+        response = _build_response(query, outcome)
+        query.release()
+        return response
 
     def _record(
         self,
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -705,6 +705,21 @@
             self.loop.call_later(read_timeout_s, self._cancel_unanswered, sent)
         self._on_finished(outcome)
 
+    def release(self) -> None:
+        """Let go of the attempts and parts, once the response has been built.
+
+        Attempts refer to this request. Without their references the memory of both is
+        given back when the last of them ends, not when the garbage collector runs.
+        """
+        for sub_request in self.sub_requests:
+            sub_request.attempts = []
+            sub_request.reply = sub_request.error_reply = None
+        self._answers = []
+        self._delegations = []
+        self._timer = None
+        self._on_finished = _ignore_outcome
+        self.used_connections.clear()
+
     def _end_delegations(self, outcome: RequestOutcome) -> None:
         """Cancel open delegations, at once if the caller is gone."""
         is_caller_gone = outcome is RequestOutcome.CALLER_DISCONNECTED
@@ -742,3 +757,7 @@
             if attempt.ended_at is None:
                 attempt_records.record_unanswered(attempt, self._latency_estimator, now)
                 self._cancel(attempt, "given-up")
+
+
+def _ignore_outcome(_outcome: RequestOutcome) -> None:
+    """Take the place of the callback of a request that has an outcome."""
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -286,6 +286,7 @@
             self._crash_notes.quarantine.return_trial(inbound.fingerprint)
         response = self._build_response(request_coordinator, outcome)
         self._record_request(request_coordinator, outcome, response)
+        request_coordinator.release()
         return response
 
     def _try_claim_trial(self, inbound: requests.InboundRequest) -> bool:
