--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 
 import eventlet
-from eventlet import event
+from eventlet import event, wsgi
 
 from corianderrill import metrics
 from corianderrill.gateway import (
@@ -137,12 +137,18 @@
         sock = environ["eventlet.input"].get_socket()
         if not _confirm(sock):
             return self._refuse(request_id, "disconnected")
+        try:
+            body = wsgi_app.read_body(environ, configuration.limits.max_body_bytes)
+        except (OSError, wsgi.ChunkReadError) as error:
+            return self._refuse(request_id, f"body incomplete: {error}")
+        if body is None:
+            return self._refuse(request_id, "body-too-large")
         query = environ.get("QUERY_STRING")
         inbound = requests.build_inbound_request(
             environ["REQUEST_METHOD"],
             f"{path}?{query}" if query else path,
             delegation_messages.strip_terms(headers),
-            environ["wsgi.input"].read(),
+            body,
             requests.parse_deadline(
                 requests.find_header(headers, requests.DEADLINE_MS_HEADER)
             )
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -165,7 +165,7 @@
         if header_bytes > configuration.limits.max_header_bytes:
             return self._refuse(request_id, route.name, 431, "headers-too-large")
         try:
-            body = _read_body(environ, configuration.limits.max_body_bytes)
+            body = read_body(environ, configuration.limits.max_body_bytes)
         except OSError as error:
             self._record_incomplete_body(request_id, route.name, error)
             return None
@@ -496,7 +496,7 @@
     return Response(reply.status, requests.list_reply_headers(reply), reply.body)
 
 
-def _read_body(environ: dict[str, object], max_bytes: int) -> bytes | None:
+def read_body(environ: dict[str, object], max_bytes: int) -> bytes | None:
     """Return the body of a request; None if it is longer than `max_bytes`.
 
     Raise ConnectionError if the caller disconnects before the end of the body.
@@ -508,6 +508,7 @@
         return body if len(body) <= max_bytes else None
     if int(length) > max_bytes:
         return None
+    # The server has refused a length that is no number.
     body = stream.read()
     if len(body) < int(length):
         raise ConnectionError(
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -391,6 +391,7 @@
 
     `delay_s` is the processing time of each request, `status` the status of replies.
     `rate_limit` is the limit that replies advertise, in requests a second of all hosts.
+    While `is_leaving` is set, replies say that the server leaves.
     """
 
     _numbers = itertools.count(1)
@@ -403,6 +404,7 @@
         self.delay_s = 0.0
         self.status = "200 OK"
         self.rate_limit: float | None = None
+        self.is_leaving = False
         self.started_at_ms = round(1000 * time.time())
         self._write_count = 0
         self.requests: list[str] = []
@@ -440,4 +442,6 @@
         }
         if self.rate_limit is not None:
             headers["Server-Limit"] = str(self.rate_limit)
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         return self.status, headers, b"".join(self.records) or body or b"done"
--- a/tests/test_gateway_aggregation.py
+++ b/tests/test_gateway_aggregation.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import time
 
 import eventlet
@@ -39,6 +40,12 @@
         ]
         return sum(map(float, samples))
 
+    def connect_to_aggregator(self):
+        """Return a connection to the port on which the aggregator answers hosts."""
+        ip, _, _ = self.aggregator.gateway_address.partition(":")
+        port = self.port_range[0]
+        return socket.create_connection((ip, port), timeout=5.0)
+
     def query(self, request_id):
         started_at = time.monotonic()
         response, body = self.entry.send_request("/gather/x", request_id)
@@ -167,3 +174,54 @@
         zone.rig.wait_until(lambda: any("kv-keep" in path for path in alias.paths))
     finally:
         alias.stop()
+
+
+# Guards against an aggregator that keeps a body without end in memory.
+@pytest.mark.parametrize(
+    "framing", ["Content-Length: 2000000000", "Transfer-Encoding: chunked"]
+)
+def test_delegated_query_with_a_body_without_end_is_refused(zone, framing):
+    keys = {"X-Query-Shards": "7", "X-Query-Min-Parts": "1", "X-Query-Goal-Ms": "300"}
+    keys |= {"X-Query-Version": "1", "X-Query-Hedge-After-Ms": "50"}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in keys.items())
+    head = (
+        f"POST /gather/x HTTP/1.1\r\nHost: {gateway_rig.HOST}\r\n{lines}"
+        f"X-Query-May-Delegate: 0\r\nX-Request-Id: endless\r\n{framing}\r\n\r\n"
+    )
+    with zone.connect_to_aggregator() as sock:
+        sock.sendall(head.encode())
+        chunk = b"10000\r\n" + b"a" * 65_536 + b"\r\n"
+        received = b""
+        with eventlet.Timeout(10.0):
+            try:
+                for _ in range(100):
+                    sock.sendall(chunk)
+                received = sock.recv(65_536)
+            except OSError:
+                # It has closed the connection, with bytes of ours unread.
+                received = received or b"closed"
+    assert b" 200 " not in received
+    assert all("endless" not in s.requests for s in zone.rig.shard_servers)
+
+
+# Guards against an entry host that asks a replica again of which an aggregator was told
+# that it leaves.
+def test_entry_host_learns_from_an_aggregator_that_a_replica_leaves(zone):
+    zone.rig.shard_servers[0].is_leaving = True
+    zone.rig.wait_until(lambda: _learns(zone))
+    zone.entry.terminate()
+    records = [
+        json.loads(line)["record"] for line in zone.entry.read_output().splitlines()
+    ]
+    noticed = [r for r in records if r["event"] == "replica-leaving"]
+    assert noticed[0]["replica"] == zone.rig.shard_servers[0].id
+    assert noticed[0]["source"] == "aggregator"
+
+
+def _learns(zone):
+    eventlet.sleep(0.1)
+    zone.query("leaving")
+    connection = gateway_rig.connect(zone.entry.metrics_address)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    return 'gateway_replica_notices_total{notice="leaving"} 1' in text
--- a/tests/utils/aggregator_zones.py
+++ b/tests/utils/aggregator_zones.py
@@ -22,8 +22,9 @@
 
     def __init__(self, directory):
         options = {"retry_slack": RETRY_SLACK, "retry_ratio": RETRY_RATIO}
+        self.port_range = pick_port_range()
         self.rig = gateway_rig.GatewayRig(
-            directory, port_range=pick_port_range(), cpu_share=60.0, **options
+            directory, port_range=self.port_range, cpu_share=60.0, **options
         )
         self.aggregator = self.rig.hosts[0]
         self.entry = self.rig.add_host(
