Take a request's route, shards and version from one configuration

Cause: the route was selected before the body was read, the number of the version taken from the view afterwards; the aggregator looked old positions up in the new version.

Change: SelectedRoute joins a route and its configuration, and is selected again once the body has been read; the coordinator and the aggregator read nothing else.

--- a/benchmarks/subrequests.py
+++ b/benchmarks/subrequests.py
@@ -130,7 +130,11 @@
         )
         done = event.Event()
         work = coordinator.RequestCoordinator(
-            shared, inbound, route, services, done.send
+            shared,
+            inbound,
+            routes.SelectedRoute(belief.configuration, route),
+            services,
+            done.send,
         )
         work.start()
         if done.wait() is not coordinator.RequestOutcome.COMPLETE:
--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -129,8 +129,8 @@
         path = environ["RAW_PATH_INFO"]
         if configuration is None or configuration.version != terms.version:
             return self._refuse(request_id, "other-version")
-        route = configuration.find_route(host, path)
-        if route is None or not _covers(route, terms.shards):
+        selected = configuration.select_route(host, path)
+        if selected is None or not _covers(selected.route, terms.shards):
             return self._refuse(request_id, "no-route")
         if self.is_shutting_down or self.in_flight.served > self._max_in_flight:
             return self._refuse(request_id, "no-capacity")
@@ -152,24 +152,24 @@
             requests.parse_deadline(
                 requests.find_header(headers, requests.DEADLINE_MS_HEADER)
             )
-            or route.timeout_s,
+            or selected.route.timeout_s,
             received_at,
         )
-        return self._answer(sock, inbound, route, terms)
+        return self._answer(sock, inbound, selected, terms)
 
     def _answer(
         self,
         sock: object,
         inbound: requests.InboundRequest,
-        route: routes.Route,
+        selected: routes.SelectedRoute,
         terms: delegation_messages.Terms,
     ) -> wsgi_app.Response:
         outcome_event = event.Event()
         query = coordinator.RequestCoordinator(
             self._shared,
             inbound,
-            route,
-            tuple(route.target.shards[index] for index in terms.shards),
+            selected,
+            tuple(selected.route.target.shards[index] for index in terms.shards),
             outcome_event.send,
             mode=(
                 delegation.Mode.OTHER_ZONES
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -11,7 +11,7 @@
 import enum
 import itertools
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
@@ -96,7 +96,7 @@
         self,
         shared: shared_state.SharedState,
         request: requests.InboundRequest,
-        route: routes.Route,
+        selected: routes.SelectedRoute,
         services: tuple[names.ServiceName, ...],
         on_finished: Callable[[RequestOutcome], None],
         answer_margin_s: float = ANSWER_DELIVERY_MARGIN_S,
@@ -109,7 +109,9 @@
         self.loop = shared.loop
         self._on_finished = on_finished
         self.request = request
-        self.route = route
+        self.route = route = selected.route
+        self.version = selected.configuration.version
+        self._service_configs = selected.configuration.services
         self.is_idempotent = route.retry_safety is routes.RetrySafety.IDEMPOTENT
         self._can_hedge = self.is_idempotent and route.max_attempts > 1
         indexes = range(len(services)) if terms is None else terms.shards
@@ -161,11 +163,6 @@
             self._latency_estimator,
         )
         self._timer = None
-        configuration = shared.view.configuration
-        self.version = configuration.version
-        self._service_configs: Mapping[names.ServiceName, routes.Service] = (
-            configuration.services
-        )
 
     def start(self) -> None:
         """Send the first attempts; the outcome may be decided before this returns."""
--- a/corianderrill/gateway/routes.py
+++ b/corianderrill/gateway/routes.py
@@ -123,6 +123,11 @@
     limits: CallerLimits
     routes_by_host: Mapping[str, Mapping[str, Route]]
 
+    def select_route(self, host: str, path: str) -> "SelectedRoute | None":
+        """Return the route of a request with this configuration; None without one."""
+        route = self.find_route(host, path)
+        return None if route is None else SelectedRoute(self, route)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path; prefixes end in `/`."""
         routes_by_prefix = self.routes_by_host.get(host.partition(":")[0].lower())
@@ -137,6 +142,18 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SelectedRoute:
+    """A route, and the configuration that it is of.
+
+    All that one request needs of the configuration is read from here: the one in force
+    may change while the request is on its way.
+    """
+
+    configuration: Configuration
+    route: Route
+
+
 def build_configuration(
     version: ConfigurationVersion,
     routes: tuple[Route, ...],
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -152,9 +152,10 @@
             )
         path = environ["RAW_PATH_INFO"]
         host = requests.find_header(headers, "Host") or ""
-        route = configuration.find_route(host, path)
-        if route is None:
+        selected = configuration.select_route(host, path)
+        if selected is None:
             return self._refuse_unknown_route(request_id)
+        route = selected.route
         if not request_id:
             return self._refuse(request_id, route.name, 400, "no-request-id")
         if self.in_flight.served > MAX_IN_FLIGHT_REQUESTS:
@@ -173,6 +174,11 @@
             return self._refuse(request_id, route.name, 400, "body-malformed")
         if body is None:
             return self._refuse(request_id, route.name, 413, "body-too-large")
+        # The body may have taken seconds, and another version be in force.
+        selected = self._shared.view.configuration.select_route(host, path)
+        if selected is None:
+            return self._refuse_unknown_route(request_id)
+        route = selected.route
         time_limit_s = self._compute_time_limit_s(headers, route, received_at)
         if time_limit_s is None:
             return self._refuse(
@@ -187,7 +193,7 @@
             time_limit_s,
             received_at,
         )
-        return self._forward(environ, inbound, route)
+        return self._forward(environ, inbound, selected)
 
     def _compute_time_limit_s(
         self,
@@ -242,8 +248,9 @@
         self,
         environ: dict[str, object],
         inbound: requests.InboundRequest,
-        route: routes.Route,
+        selected: routes.SelectedRoute,
     ) -> Response | None:
+        route = selected.route
         services = self._target_selector.select_services(route)
         refusal = self._find_refusal(route, services, inbound.received_at)
         if refusal is not None:
@@ -262,7 +269,7 @@
         request_coordinator = coordinator.RequestCoordinator(
             self._shared,
             inbound,
-            route,
+            selected,
             services,
             outcome_event.send,
             margin_s,
--- a/tests/test_gateway_aggregation.py
+++ b/tests/test_gateway_aggregation.py
@@ -1,5 +1,6 @@
 """Gateway processes of one zone, of which one is an aggregator."""
 
+import http.client
 import json
 import signal
 import socket
@@ -225,3 +226,27 @@
     connection.request("GET", "/metrics")
     text = connection.getresponse().read().decode()
     return 'gateway_replica_notices_total{notice="leaving"} 1' in text
+
+
+# Guards against an answer with parts of some shards of one version that claims to hold
+# all shards of another one.
+def test_query_whose_body_outlasts_a_repartition_is_drawn_from_one_version(zone):
+    ip, _, port = zone.entry.gateway_address.partition(":")
+    head = (
+        f"POST /gather/x HTTP/1.1\r\nHost: {gateway_rig.HOST}\r\n"
+        "X-Request-Id: split\r\nX-Deadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nab"
+    )
+    with socket.create_connection((ip, int(port)), timeout=10.0) as caller:
+        caller.sendall(head.encode())
+        eventlet.sleep(0.3)
+        # The same three shards and one more, in another order.
+        shards = ["three", "single", "two", "one"]
+        zone.rig.publish_configuration(version=2, gather={"gather": shards})
+        eventlet.sleep(1.5)
+        caller.sendall(b"cd")
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+        answer.read()
+    assert answer.status == 200
+    stamps = answer.headers["X-Part-Stamps"].split(",")
+    assert len(stamps) + int(answer.headers["X-Missing-Parts"]) == len(shards)
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -433,8 +433,9 @@
         services = self.services
         if not isinstance(self.route.target, routes.ScatterGather):
             services = (self.route.target.service,)
+        selected = routes.SelectedRoute(self.tools.view.configuration, self.route)
         work = coordinator.RequestCoordinator(
-            self.tools, inbound, self.route, services, conclude, mode=self.mode
+            self.tools, inbound, selected, services, conclude, mode=self.mode
         )
         holder.append(work)
         self.coordinators.append(work)
