--- a/benchmarks/gateways/callers.py
+++ b/benchmarks/gateways/callers.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import time
+from collections.abc import Iterator
 
 import eventlet
 from urllib3 import util
@@ -19,6 +20,7 @@
 BOOKING_SHARE = 0.2
 LEAVE_SHARE = 0.5
 LEAVE_WITHIN_S = 0.03
+SLOW_UPLOAD_S = 1.5
 HOST = "leno.example"
 READY_PATH = "/api/ready"
 
@@ -83,6 +85,7 @@
         self._rng = rng
         self._kept: dict[records.HostName, http.client.HTTPConnection] = {}
         self.leaves_early = False
+        self.sends_slowly = False
         # If set, it asks for bookings with this body only.
         self.body: bytes | None = None
 
@@ -128,6 +131,11 @@
         else:
             self._kept[door.host] = connection
 
+    def _send_in_pieces(self, body: bytes) -> Iterator[bytes]:
+        yield body[:1]
+        eventlet.sleep(self._rng.random() * SLOW_UPLOAD_S)
+        yield body[1:]
+
     def _exchange(
         self,
         asked: records.Asked,
@@ -146,7 +154,12 @@
                 connection.request("GET", "/sweep/x", headers=headers)
             case records.Kind.BOOKING:
                 body = self.body or f"booking {asked.id}".encode()
-                connection.request("POST", "/desk/x", body=body, headers=headers)
+                if self.sends_slowly:
+                    body = self._send_in_pieces(body)
+                    headers["Transfer-Encoding"] = "chunked"
+                connection.request(
+                    "POST", "/desk/x", body=body, headers=headers, encode_chunked=True
+                )
         asked.sent_at = time.monotonic()
         if leaves:
             eventlet.sleep(self._rng.random() * LEAVE_WITHIN_S)
--- a/benchmarks/gateways/changes.py
+++ b/benchmarks/gateways/changes.py
@@ -315,23 +315,12 @@
             store.is_down = False
 
 
-class Store(platform.FakeStore):
-    """A store whose watches can fall silent while it answers all other calls."""
-
-    are_watches_silent = False
-
-    def _watch(self, query):
-        while self.are_watches_silent:
-            eventlet.sleep(60.0)
-        return super()._watch(query)
-
-
 def run(kind: Disturbance, seconds: float, host_count: int, seed: int) -> Report:
     """Run hosts among the changes of an operator."""
     directory = DIRECTORY / f"{kind.value}-{os.getpid()}"
     directory.mkdir(parents=True, exist_ok=True)
     report = Report(kind.value, host_count, seconds)
-    store = Store()
+    store = platform.FakeStore()
     operator = Operator(store, report, random.Random(seed))
     history = records.History(time.monotonic())
     all_hosts = [
--- a/benchmarks/gateways/checks.py
+++ b/benchmarks/gateways/checks.py
@@ -36,6 +36,8 @@
 CRASH_CONTACT_S = 4.0
 CRASHES_AT_MOST = 3
 LATE_AFTER_S = 0.5
+PAUSE_SLACK_S = 0.5
+PAUSE_AT_MOST = 2
 GONE_AFTER_S = 0.5
 GONE_AT_MOST = 3
 RECOVERY_S = 5.0
@@ -323,6 +325,48 @@
             told_at.setdefault(host, arrival.limited_at)
 
 
+def check_announced(evidence: Evidence) -> Iterator[Broken]:
+    """A replica that said in an answer that it leaves gets nothing late of that host."""
+    told: dict[tuple[str, str], float] = {}
+    for noticed in evidence.history.noticed:
+        if noticed.until is None:
+            host = evidence.by_id[noticed.request].host
+            told.setdefault((noticed.replica, host), noticed.at)
+    for arrival in evidence.history.arrivals:
+        asked = evidence.by_id[arrival.id]
+        told_at = told.get((arrival.replica, asked.host))
+        if told_at is None or (asked.sent_at or 0.0) <= told_at + DRAIN_S:
+            continue
+        restarted = any(
+            s.host == asked.host and told_at < s.at <= arrival.at
+            for s in evidence.history.started
+        )
+        if not restarted and not evidence.setting.has_aggregators:
+            detail = f"{arrival.id} at {arrival.replica} from {asked.host}"
+            yield Broken("announced", arrival.at, detail)
+
+
+def check_pauses(evidence: Evidence) -> Iterator[Broken]:
+    """A replica that wants a pause gets two more requests of that host at most."""
+    if evidence.setting.has_aggregators:
+        return
+    arrivals: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
+    for arrival in evidence.history.arrivals:
+        host = evidence.by_id[arrival.id].host
+        arrivals[arrival.replica, host].append(arrival.at)
+    for noticed in evidence.history.noticed:
+        if noticed.until is None:
+            continue
+        host = evidence.by_id[noticed.request].host
+        if not evidence.is_in_touch(host, noticed.at, noticed.until):
+            continue
+        times = arrivals[noticed.replica, host]
+        late = [at for at in times if noticed.at + PAUSE_SLACK_S < at < noticed.until]
+        if len(late) > PAUSE_AT_MOST:
+            detail = f"{noticed.replica}: {len(late)} requests from {host}"
+            yield Broken("pauses", noticed.at, detail)
+
+
 def check_crashes(evidence: Evidence) -> Iterator[Broken]:
     """A request under which servers ended is soon sent to hardly any more."""
     by_body = collections.defaultdict(list)
@@ -426,6 +470,8 @@
     check_routes,
     check_draining,
     check_limits,
+    check_announced,
+    check_pauses,
     check_crashes,
     check_losses,
     check_deadlines,
--- a/benchmarks/gateways/faults.py
+++ b/benchmarks/gateways/faults.py
@@ -47,6 +47,12 @@
     REPLICA_LIMITED = "replica-limited"
     STORE_RESTORED = "store-restored"
     CRASHING_REQUEST = "crashing-request"
+    REPLICA_ENDLESS = "replica-endless"
+    REPLICA_REPEATING = "replica-repeating"
+    REPLICA_ANNOUNCING = "replica-announcing"
+    REPLICA_QUIET = "replica-quiet"
+    STORE_WATCHES_SILENT = "store-watches-silent"
+    CALLERS_SLOW = "callers-slow"
 
 
 # Shares of the run.
--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -15,6 +15,8 @@
 READY_WITHIN_S = 60.0
 ZONES = ("zone-a", "zone-b")
 STEP_S = 0.02
+# The smallest host of the users has 200 MB.
+MAX_RESIDENT_BYTES = 200 << 20
 ERROR_EVENT = b'"event":"internal-error"'
 
 
@@ -56,6 +58,7 @@
         self._child: processes.Child | None = None
         self._pauses = 0
         self.is_up = False
+        self._is_large = False
 
     def start(self) -> None:
         """Start the process."""
@@ -128,10 +131,18 @@
 
     def look(self) -> None:
         """Note a process that ended by itself, and start it again."""
+        if self.is_up and self._child.is_running:
+            self._check_memory()
         if self.is_up and not self._child.is_running:
             self._note(f"ended by itself with {self._child.wait(0.0)}")
             self.start()
 
+    def _check_memory(self) -> None:
+        resident_bytes = self._child.read_resident_bytes()
+        if resident_bytes > MAX_RESIDENT_BYTES and not self._is_large:
+            self._is_large = True
+            self._note(f"takes {resident_bytes >> 20} MB of memory")
+
     def stop(self) -> None:
         """End the process and note what it reported of itself."""
         if self._child is not None:
--- a/benchmarks/gateways/records.py
+++ b/benchmarks/gateways/records.py
@@ -128,6 +128,19 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Noticed:
+    """A replica told a host in an answer that it leaves, or wants a pause until then.
+
+    `until` is None for one that leaves.
+    """
+
+    replica: InstanceId
+    request: RequestId
+    at: float
+    until: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crashed:
     """A replica ended while it ran a request; `body` is that of all its repetitions."""
@@ -176,6 +189,7 @@
     disturbed: list[Disturbed] = dataclasses.field(default_factory=list)
     held: list[Held] = dataclasses.field(default_factory=list)
     limited: list[Limited] = dataclasses.field(default_factory=list)
+    noticed: list[Noticed] = dataclasses.field(default_factory=list)
     crashed: list[Crashed] = dataclasses.field(default_factory=list)
     told: list[Told] = dataclasses.field(default_factory=list)
     vanished: list[Vanished] = dataclasses.field(default_factory=list)
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -52,6 +52,19 @@
 # Sized for as many hosts as make gateways want aggregators.
 FIXED_WITH_AGGREGATORS = 200.0
 
+_ENTRY = (
+    b'{"service":"shard-0","address":"127.0.0.1:%b","zone":"zone-a","version":"v1",'
+    b'"capacity":%b,"state":"ready","warmup_left_ms":0,"seq_no":1,"born":%b}'
+)
+# Entries of another writer: nested deeply, with numbers too large, with no port.
+ODD_ENTRIES = (
+    b'{"a":' + b"[" * 100_000,
+    _ENTRY % (b"9", b"1" + b"0" * 400, b"1"),
+    _ENTRY % (b"9", b"1", b"1" + b"0" * 30),
+    _ENTRY % ("\u00b2".encode(), b"1", b"1"),
+    _ENTRY % (b"70000", b"1", b"1"),
+)
+
 Undo = Callable[[], None]
 
 _CALLERS_LINK_MODES = {
@@ -77,6 +90,9 @@
     faults.Kind.REPLICA_SLOW: servers.Mood.SLOW,
     faults.Kind.REPLICA_REFUSING: servers.Mood.REFUSING,
     faults.Kind.REPLICA_FAILING: servers.Mood.FAILING,
+    faults.Kind.REPLICA_ENDLESS: servers.Mood.ENDLESS,
+    faults.Kind.REPLICA_REPEATING: servers.Mood.REPEATING,
+    faults.Kind.REPLICA_QUIET: servers.Mood.QUIET,
 }
 _MOODS_OF_ALL = {
     faults.Kind.ALL_SLOW: servers.Mood.SLOW,
@@ -251,7 +267,11 @@
             case faults.Kind.PUBLISHED:
                 return self._publish
             case faults.Kind.CALLERS_LEAVE:
-                return self._begin_leaving()
+                return self._begin_habit("leaves_early")
+            case faults.Kind.CALLERS_SLOW:
+                return self._begin_habit("sends_slowly")
+            case faults.Kind.STORE_WATCHES_SILENT:
+                return self._begin_silent_watches()
             case faults.Kind.CRASHING_REQUEST:
                 return self._begin_crashing(fault)
             case _ if kind in _MOODS_OF_ALL:
@@ -302,6 +322,9 @@
                 number = next(self._garbage)
                 self.store.put(f"servers/garbage-{number}", b"{not a server")
                 self.store.put("op/other", b"\xff")
+                odd = ODD_ENTRIES[number % len(ODD_ENTRIES)]
+                self.store.put(f"servers/odd-{number}", odd)
+                self.store.put(f"demand/odd-{number}", odd)
                 return _do_nothing
         span = self._disturb(since, None)
         self._busy += 1
@@ -367,13 +390,22 @@
             state = "draining" if server.is_leaving else "ready"
             server.register(self.store, state)
 
-    def _begin_leaving(self) -> Undo:
+    def _begin_habit(self, name: str) -> Undo:
         for caller in self._callers:
-            caller.leaves_early = True
+            setattr(caller, name, True)
 
         def undo() -> None:
             for caller in self._callers:
-                caller.leaves_early = False
+                setattr(caller, name, False)
+
+        return undo
+
+    def _begin_silent_watches(self) -> Undo:
+        """Answer no watch; hosts have to follow the store by other calls."""
+        self.store.are_watches_silent = True
+
+        def undo() -> None:
+            self.store.are_watches_silent = False
 
         return undo
 
@@ -390,6 +422,9 @@
             case faults.Kind.REPLICA_REPLACED:
                 eventlet.spawn(self._replace, server)
                 return _do_nothing
+            case faults.Kind.REPLICA_ANNOUNCING:
+                eventlet.spawn(self._announce_leaving, server)
+                return _do_nothing
             case faults.Kind.REPLICA_LIMITED:
                 return self._limit(server)
         if kind in _MOODS:
@@ -454,6 +489,22 @@
         eventlet.sleep(checks.DRAIN_S)
         server.stop()
 
+    def _announce_leaving(self, server: servers.Server) -> None:
+        """Let a server say in its answers that it leaves; the store says ready."""
+        if sum(s.service == server.service for s in self._servers) < 2:
+            return
+        server.is_leaving = True
+        server.moods.append(servers.Mood.ANNOUNCING)
+        number = hosts.ZONES.index(server.zone)
+        fresh = self._build_server(server.service, number)
+        self._servers.append(fresh)
+        fresh.register(self.store)
+        eventlet.sleep(STAY_S)
+        self._servers.remove(server)
+        self.store.remove(f"servers/{server.id}")
+        eventlet.sleep(checks.DRAIN_S)
+        server.stop()
+
     def _publish(self) -> None:
         """Publish the next version, which sends bookings to the next service."""
         self._version += 1
--- a/benchmarks/gateways/servers.py
+++ b/benchmarks/gateways/servers.py
@@ -17,6 +17,10 @@
 SLOW_S = 0.4
 REFUSED_SHARE = 0.5
 FAILED_SHARE = 0.5
+ENDLESS_SHARE = 0.1
+ENDLESS_PIECE = b"a" * 65_536
+PAUSE_S = 3.0
+REPEAT_DELAY_S = 0.03
 RECORDS_A_PART = 6
 RECORD_BYTES = 16
 _numbers = itertools.count(1)
@@ -32,6 +36,10 @@
     SLOW = "slow"
     REFUSING = "refusing"
     FAILING = "failing"
+    ENDLESS = "endless"
+    REPEATING = "repeating"
+    ANNOUNCING = "announcing"
+    QUIET = "quiet"
 
 
 def build_part(service: str, request_id: str) -> bytes:
@@ -73,6 +81,10 @@
             arrival.was_elsewhere = True
             headers = {"X-Request-Id": str(arrival.id), "X-Instance-Id": self.id}
             return "421 Misdirected Request", headers, b""
+        if Mood.QUIET in self.moods:
+            return self._ask_for_pause(arrival)
+        if Mood.REPEATING in self.moods and self._rng.random() < REFUSED_SHARE:
+            return self._refuse_twice(arrival, environ)
         if Mood.REFUSING in self.moods and self._rng.random() < REFUSED_SHARE:
             headers = {"X-Request-Id": str(arrival.id), "X-Not-Executed": "1"}
             return "503 Service Unavailable", headers, b""
@@ -86,6 +98,42 @@
         eventlet.sleep(SLOW_S if is_slow else SERVICE_S * self._rng.uniform(0.5, 2))
         return self._finish(arrival, body)
 
+    def _ask_for_pause(self, arrival: records.Arrival) -> platform.HttpResponse:
+        now = time.monotonic()
+        noticed = records.Noticed(arrival.replica, arrival.id, now, now + PAUSE_S)
+        self._history.noticed.append(noticed)
+        headers = {"X-Request-Id": str(arrival.id), "X-Not-Executed": "1"}
+        headers["Retry-After"] = str(PAUSE_S)
+        return "503 Service Unavailable", headers, b""
+
+    def _refuse_twice(
+        self, arrival: records.Arrival, environ: dict[str, Any]
+    ) -> platform.HttpResponse:
+        """Refuse a request, and send the refusal again a moment later.
+
+        The second one names no request at times.
+        """
+        line = f"X-Request-Id: {arrival.id}\r\n" if self._rng.random() < 0.5 else ""
+        copy = (
+            f"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n{line}"
+            "Content-Length: 0\r\n\r\n"
+        )
+        sock = environ["eventlet.input"].get_socket()
+        eventlet.spawn_after(REPEAT_DELAY_S, _send_stray, sock, copy.encode())
+        headers = {"X-Request-Id": str(arrival.id), "X-Not-Executed": "1"}
+        return "503 Service Unavailable", headers, b""
+
+    def _serve(self, environ: dict[str, Any], start_response: Any):
+        if Mood.ENDLESS in self.moods and self._rng.random() < ENDLESS_SHARE:
+            return self._answer_without_end(environ, start_response)
+        return super()._serve(environ, start_response)
+
+    def _answer_without_end(self, environ: dict[str, Any], start_response: Any):
+        """Run a request, and answer until the other end closes the connection."""
+        _, headers, _ = self.handle_request(environ)
+        start_response("200 OK", list(headers.items()))
+        return itertools.repeat(ENDLESS_PIECE)
+
     def _finish(self, arrival: records.Arrival, body: bytes) -> platform.HttpResponse:
         headers = {
             "X-Request-Id": str(arrival.id),
@@ -94,6 +142,11 @@
         if self.rate_limit is not None:
             arrival.limited_at = time.monotonic()
             headers["Server-Limit"] = str(self.rate_limit)
+        if Mood.ANNOUNCING in self.moods:
+            headers["Server-Leaving"] = "1"
+            self._history.noticed.append(
+                records.Noticed(arrival.replica, arrival.id, time.monotonic())
+            )
         if Mood.FAILING in self.moods and self._rng.random() < FAILED_SHARE:
             arrival.status = 500
             return "500 Internal Server Error", headers, b"broken"
@@ -113,5 +166,13 @@
         super().stop()
 
 
+def _send_stray(sock: Any, data: bytes) -> None:
+    try:
+        sock.sendall(data)
+    except OSError:
+        # The connection was closed meanwhile.
+        return
+
+
 def _ignore(_server: Server) -> None:
     """End under no request."""
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -72,6 +72,14 @@
         """Return what the process wrote to its standard error."""
         return self._log.read_text(errors="replace")
 
+    def read_resident_bytes(self) -> int:
+        """Return the memory that the process has in use; 0 once it has ended."""
+        try:
+            pages = pathlib.Path(f"/proc/{self.pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
     def read_cpu_s(self) -> float:
         """Return the processor time that the process has used, in seconds."""
         try:
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -24,6 +24,7 @@
 MAX_HISTORY_ITEMS = 2_000
 MAX_WATCH_CHANGES = 500
 KEEP_ALIVE_TIMEOUT_S = 5.0
+SILENT_WATCH_POLL_S = 0.05
 
 HttpResponse = tuple[str, dict[str, str], bytes]
 
@@ -145,8 +146,9 @@
     """A key-value store with revisions, leases, paged reads and long-poll watches.
 
     While `is_down` is set, all calls get status 503; while `is_resetting` is set, their
-    connections are closed. From `fall_silent` until
-    `end_silence`, no call is answered, and those that were open then never are. After
+    connections are closed; while `are_watches_silent` is, watches alone get no reply.
+    From `fall_silent` until `end_silence`, no call is answered, and those that were open
+    then never are. After
     `compact_history`, watches from an earlier revision get status 410. After
     `snapshot_for_stale_reads`, range reads that allow stale data are answered from the
     snapshot, with the era of that time. `restore` begins a new `era` from what
@@ -158,6 +160,7 @@
         self.era = 1
         self.is_down = False
         self.is_resetting = False
+        self.are_watches_silent = False
         self._is_silent = False
         self._silence_count = 0
         self.call_count = 0
@@ -364,6 +367,8 @@
 
     def _watch(self, query: dict[str, str]) -> HttpResponse:
         self.watch_count += 1
+        while self.are_watches_silent:
+            eventlet.sleep(SILENT_WATCH_POLL_S)
         after = int(query["after"])
         era = self.era
         with eventlet.Timeout(int(query["wait_ms"]) / 1000, False):
