--- a/benchmarks/gateways/checks.py
+++ b/benchmarks/gateways/checks.py
@@ -326,7 +326,7 @@
 
 
 def check_announced(evidence: Evidence) -> Iterator[Broken]:
-    """A replica that said in an answer that it leaves gets nothing late of that host."""
+    """A replica that said that it leaves gets nothing late of the host it told."""
     told: dict[tuple[str, str], float] = {}
     for noticed in evidence.history.noticed:
         if noticed.until is None:
