End fewer replicas under a query that crashes those of all shards

Traced from the logs: all ten shards were hedged 29 ms after the query came, 12 ms before its first replica ended; breaks were retried before it was known that the replica had ended; and a suspected query went to all shards at once.

Change: a retry after a break waits until the replica is known to live, 30 ms at most; hedges of a query of which no shard has replied wait for twice the delay; a suspected query sends one sub-request first, and the others once that was answered.

--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -148,6 +148,7 @@
     another host sends the attempts. `is_limited` is set if no attempt was sent because
     of rate limits. `is_in_answer` is set if the part came with that host's answer;
     `lost_delegations` counts hosts that may have sent an attempt and did not answer.
+    While `is_awaiting_liveness`, it is not known whether a replica has ended under it.
     """
 
     service: names.ServiceName
@@ -160,6 +161,7 @@
     is_limited: bool = False
     is_in_answer: bool = False
     lost_delegations: int = 0
+    is_awaiting_liveness: bool = False
 
     @property
     def has_part(self) -> bool:
@@ -187,5 +189,7 @@
         return [replica for replica in refused if refused.count(replica) == 1]
 
     def has_pending_attempt(self) -> bool:
-        """Return whether an attempt is still without an outcome."""
-        return any(attempt.ended_at is None for attempt in self.attempts)
+        """Return whether an attempt is still without an outcome, or about to follow."""
+        return self.is_awaiting_liveness or any(
+            attempt.ended_at is None for attempt in self.attempts
+        )
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -45,6 +45,8 @@
 # Pending replies are still read and recorded for this long after the outcome of an
 # idempotent request, or after the deadline of an at-most-once request.
 LATE_REPLY_TIMEOUT_S = 0.3
+# A retry waits so long at most to know whether a replica has ended under the request.
+MAX_LIVENESS_WAIT_S = 0.03
 # An attempt that could not be sent is replaced at no cost to the retry budget while
 # its sub-request has at most this many attempts.
 MAX_ATTEMPTS_FOR_UNSENT_RETRY = 3
@@ -133,7 +135,6 @@
         self.denied_extra_attempts = 0
         # Set if the query was refused because of rate limits or of crashes.
         self.retry_after_s: float | None = None
-        # A trial sends one sub-request first, and so crashes one replica at most.
         self._is_trial = is_trial
         self._untried: Sequence[attempts.SubRequest] = ()
         self._postponed: list[attempts.SubRequest] = []
@@ -173,10 +174,12 @@
             return
         self._latency_estimator.refresh(now)
         self._hedge_timing.start()
-        groups = self._plan_delegations(now)
+        sends_one_first = self._is_trial or self.verdict is quarantine.Verdict.SUSPECTED
+        groups = [] if sends_one_first else self._plan_delegations(now)
         delegated = {s for group in groups for s in group.sub_requests}
         direct = [s for s in self.sub_requests if s not in delegated]
-        if self._is_trial:
+        if sends_one_first:
+            # So that it crashes one replica at most.
             direct, self._untried = direct[:1], direct[1:]
         # Decided before anything is sent, so that a refusal says truly "not executed".
         direct = self._hold_back_limited(direct, now)
@@ -475,8 +478,8 @@
                     )
             case connections.FailedExchange(sent=sent):
                 reply = None
-                self.shared.crash_watch.record_break(
-                    attempt.replica, result, self.request, self._has_reply
+                attempt.sub_request.is_awaiting_liveness = self._watch_break(
+                    attempt, result
                 )
                 outcome = (
                     replies.AttemptOutcome.UNUSABLE
@@ -500,6 +503,38 @@
         self._give_up_untried()
         self._finish_if_decided(now)
 
+    def _watch_break(
+        self, attempt: attempts.Attempt, result: connections.FailedExchange
+    ) -> bool:
+        """Find out whether a replica has ended; return whether to wait for that.
+
+        A retry that is sent before it is known would end one more replica.
+        """
+        is_watched = self.shared.crash_watch.record_break(
+            attempt.replica,
+            result,
+            self.request,
+            self._has_reply,
+            lambda: self._resume_after_break(attempt),
+        )
+        if not is_watched or not self.is_idempotent or self.outcome is not None:
+            return False
+        self.loop.call_later(MAX_LIVENESS_WAIT_S, self._resume_after_break, attempt)
+        return True
+
+    def _resume_after_break(self, attempt: attempts.Attempt) -> None:
+        """Send the retry that waited, unless the request is suspected by now."""
+        sub_request = attempt.sub_request
+        if not sub_request.is_awaiting_liveness or self.outcome is not None:
+            return
+        sub_request.is_awaiting_liveness = False
+        now = self.loop.now()
+        self._update_sub_request(
+            sub_request, attempt, replies.AttemptOutcome.UNUSABLE, None, now
+        )
+        self._give_up_untried()
+        self._finish_if_decided(now)
+
     def _record_complete_run(self) -> None:
         """Record that a replica ran the request to its end, so it crashes none."""
         if self._was_run:
@@ -525,6 +560,7 @@
         if sub_request.is_done:
             return
         if outcome is replies.AttemptOutcome.SUCCESS:
+            sub_request.is_awaiting_liveness = False
             sub_request.reply = reply
             self._succeeded_count += 1
             self._mark_done(sub_request)
@@ -532,6 +568,8 @@
             return
         if outcome is replies.AttemptOutcome.ERROR_REPLY:
             sub_request.error_reply = reply
+        if sub_request.is_awaiting_liveness:
+            return
         waited_s = now - attempt.started_at
         if outcome is replies.AttemptOutcome.UNSENT:
             if len(
--- a/corianderrill/gateway/crash_watch.py
+++ b/corianderrill/gateway/crash_watch.py
@@ -57,10 +57,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Suspect:
-    """A request whose attempt broke off; `has_reply` tells whether one came since."""
+    """A request whose attempt broke off; `has_reply` tells whether one came since.
+
+    `on_concluded` is called when it is known whether the replica has ended.
+    """
 
     request: requests.InboundRequest
     has_reply: Callable[[], bool]
+    on_concluded: Callable[[], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,32 +90,37 @@
         exchange: connections.FailedExchange,
         request: requests.InboundRequest,
         has_reply: Callable[[], bool],
-    ) -> None:
-        """Find out whether a replica ended while it ran a request."""
+        on_concluded: Callable[[], None] = lambda: None,
+    ) -> bool:
+        """Find out whether a replica ended while it ran a request.
+
+        Return False if the exchange ended in a way that does not suggest it.
+        """
         if not exchange.sent or exchange.failure not in _BREAKS:
-            return
+            return False
         registration = replica.registration
         process = f"{registration.id}/{registration.started_at_ms or 0}"
-        suspect = _Suspect(request, has_reply)
+        suspect = _Suspect(request, has_reply, on_concluded)
         if process in self._suspects:
             self._suspects[process].append(suspect)
-            return
+            return True
         self._suspects[process] = [suspect]
         self.check(
             registration.address,
             lambda liveness: self._conclude(process, registration.service, liveness),
         )
+        return True
 
     def _conclude(
         self, process: str, service: names.ServiceName, liveness: Liveness
     ) -> None:
         suspects = self._suspects.pop(process)
         self.meter.count(metrics.GATEWAY_BROKEN_EXCHANGES, liveness.value)
-        if liveness is not Liveness.ENDED:
-            return
         for suspect in suspects:
-            if not suspect.has_reply():
+            if liveness is Liveness.ENDED and not suspect.has_reply():
                 self._note(process, service, suspect.request)
+        for suspect in suspects:
+            suspect.on_concluded()
 
     def _note(
         self,
--- a/corianderrill/gateway/hedge_timing.py
+++ b/corianderrill/gateway/hedge_timing.py
@@ -18,6 +18,13 @@
 MAX_LAST_CHANCE_PENDING_SHARE = 0.15
 
 
+# A query over so many shards of which none has replied is not held up by a few slow
+# replicas; it may be about to crash them all. Its hedges wait for this multiple of the
+# hedge delay.
+MIN_SHARDS_TO_COMPARE = 4
+NO_REPLY_DELAY_FACTOR = 2.0
+
+
 @dataclasses.dataclass(slots=True)
 class HedgeTiming:
     """The hedges of one request; `max_attempts` is that of its route.
@@ -39,7 +46,7 @@
     def compute_next_check_at(self, now: float) -> float:
         """Return when the next hedge may be due; infinite without any."""
         due_times = [
-            sub_request.attempts[-1].started_at + self.latency_estimator.hedge_delay_s
+            sub_request.attempts[-1].started_at + self._compute_hedge_delay_s()
             for sub_request in self._list_hedgeable()
         ]
         if not due_times:
@@ -59,14 +66,22 @@
         )
         for sub_request in pending:
             waited_s = now - sub_request.attempts[-1].started_at
-            if is_last_chance or waited_s >= self.latency_estimator.hedge_delay_s:
+            if is_last_chance or waited_s >= self._compute_hedge_delay_s():
                 yield sub_request, waited_s
 
+    def _compute_hedge_delay_s(self) -> float:
+        delay_s = self.latency_estimator.hedge_delay_s
+        if len(self.sub_requests) < MIN_SHARDS_TO_COMPARE:
+            return delay_s
+        has_reply = any(s.is_done for s in self.sub_requests)
+        return delay_s if has_reply else NO_REPLY_DELAY_FACTOR * delay_s
+
     def _list_hedgeable(self) -> list[attempts.SubRequest]:
         return [
             sub_request
             for sub_request in self.sub_requests
             if not sub_request.is_done
+            and not sub_request.is_awaiting_liveness
             and sub_request.attempts
             and sub_request.count_attempted_replicas() < self.max_attempts
         ]
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -148,7 +148,8 @@
     While `is_down` is set, all calls get status 503; while `is_resetting` is set, their
     connections are closed; while `are_watches_silent` is, watches alone get no reply.
     From `fall_silent` until `end_silence`, no call is answered, and those that were
-    open then never are. After `compact_history`, watches from an earlier revision get status 410. After
+    open then never are. After `compact_history`, watches from an earlier revision get
+    status 410. After
     `snapshot_for_stale_reads`, range reads that allow stale data are answered from the
     snapshot, with the era of that time. `restore` begins a new `era` from what
     `take_copy` returned, and gives out its later revisions and leases again.
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -91,6 +91,9 @@
     dark: list = dataclasses.field(default_factory=list)
     leaving: list = dataclasses.field(default_factory=list)
     quiet: list = dataclasses.field(default_factory=list)
+    breaking: list = dataclasses.field(default_factory=list)
+    # If set, each request ends the replica after this time.
+    breaks_after_s: float | None = None
     shed_share: float = 0.0
     fail_share: float = 0.0
     limits: list = dataclasses.field(default_factory=list)
@@ -244,6 +247,12 @@
         server = self.server
         server.arrivals += 1
         server.log.append((server.loop.now(), self.host))
+        if server.is_in(server.breaking):
+            server.loop.call_later(self.way_s, self._break_off, sender)
+            return
+        if server.breaks_after_s is not None:
+            server.loop.call_later(server.breaks_after_s, self._break_off, sender)
+            return
         pause_s = server.get_pause_s()
         if pause_s is not None:
             self._reply_later(0.0, sender, build_refusal(sender, pause_s))
@@ -261,6 +270,12 @@
         )
         self._reply_later(left_s, sender, reply)
 
+    def _break_off(self, sender):
+        self._free_connection()
+        sender.on_result(
+            connections.FailedExchange(connections.Failure.RESET, sent=True)
+        )
+
     def _reply_later(self, left_s, sender, reply):
         self.server.loop.call_later(left_s + self.way_s, self._return, sender, reply)
 
