--- a/corianderrill/gateway/__main__.py
+++ b/corianderrill/gateway/__main__.py
@@ -1,9 +1,13 @@
 """Entry point of the gateway: patches the standard library before other imports."""
 
 import os
+import signal
 import sys
 import warnings
 
+# Until the handler is installed; the settings are read later anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # All addresses are IP addresses, so loading eventlet's DNS resolver would only slow
 # down the start.
 os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
