--- a/tests/test_gateway_store_changes.py
+++ b/tests/test_gateway_store_changes.py
@@ -140,6 +140,23 @@
     assert read_version(changes) == 9
 
 
+# Guards against an entry whose start lies so far ahead that each later word of the
+# replica, that it drains too, is taken for old.
+def test_entry_that_started_in_the_far_future_is_skipped():
+    changes = build_changes()
+    changes.wall_clock = lambda: 1.0
+    document = json.loads(encode_server("ready", 1)) | {"born": 10**12}
+    odd = store.Item(store.Key("servers/i-1"), 5, json.dumps(document).encode())
+    changes.apply([odd], 1.0)
+    assert changes.view.list_replica_ids() == set()
+    sound = store.Item(store.Key("servers/i-1"), 6, encode_server("ready", 2))
+    changes.apply([sound], 1.0)
+    assert changes.view.list_replica_ids() == {"i-1"}
+    drained = store.Item(store.Key("servers/i-1"), 7, encode_server("draining", 3))
+    changes.apply([drained], 1.0)
+    assert changes.view.list_ready("shard-1") == []
+
+
 # Guards against an entry that ends the application of all others: it raised an error
 # that nobody had expected, and the thread that follows the store ended with it.
 def test_item_that_raises_is_skipped_and_the_others_hold(monkeypatch):
