--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -143,10 +143,9 @@
             return self._refuse(request_id, f"body incomplete: {error}")
         if body is None:
             return self._refuse(request_id, "body-too-large")
-        query = environ.get("QUERY_STRING")
         inbound = requests.build_inbound_request(
             environ["REQUEST_METHOD"],
-            f"{path}?{query}" if query else path,
+            environ["corianderrill.target"],
             delegation_messages.strip_terms(headers),
             body,
             requests.parse_deadline(
--- a/corianderrill/gateway/caller_connections.py
+++ b/corianderrill/gateway/caller_connections.py
@@ -11,6 +11,13 @@
 # The watch for a disconnect starts this long after the request. Most requests end
 # sooner and need none.
 DISCONNECT_WATCH_DELAY_S = 0.1
+# What the configuration allows of this is decided once the headers have been read.
+MAX_HEADER_LINE_BYTES = 65_536
+MAX_HEADERS_BYTES = 262_144
+MAX_REQUEST_LINE_BYTES = 65_536
+
+wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
+wsgi.MAX_TOTAL_HEADER_SIZE = MAX_HEADERS_BYTES
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -20,6 +27,7 @@
         """Add this connection to the WSGI environment."""
         environ = super().get_environ()
         environ["corianderrill.connection"] = self
+        environ["corianderrill.target"] = self.path
         return environ
 
     def _read_request_line(self) -> bytes:
@@ -33,6 +41,8 @@
         with eventlet.Timeout(self.server.app.get_header_timeout_s(), False):
             is_valid = super().parse_request()
         if is_valid:
+            # As it was sent: the standard library drops a second leading slash.
+            self.path = self.requestline.split()[1]
             return True
         self.close_connection = True
         reason = "headers-too-slow" if is_valid is None else "headers-malformed"
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -258,6 +258,7 @@
             keepalive=True,
             socket_timeout=CALLER_SOCKET_TIMEOUT_S,
             capitalize_response_headers=False,
+            url_length_limit=caller_connections.MAX_REQUEST_LINE_BYTES,
         )
 
     # Background tasks.
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -184,10 +184,9 @@
             return self._refuse(
                 request_id, route.name, 503, "shutting-down", MIN_RETRY_AFTER_S
             )
-        query = environ.get("QUERY_STRING")
         inbound = requests.build_inbound_request(
             environ["REQUEST_METHOD"],
-            f"{path}?{query}" if query else path,
+            environ["corianderrill.target"],
             headers,
             body,
             time_limit_s,
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -75,6 +75,15 @@
         return _SETTINGS.format(**dataclasses.asdict(self), zone_lines=zone_lines)
 
 
+class _Protocol(wsgi.HttpProtocol):
+    """Keeps the target of a request as it was sent."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ["RAW_REQUEST_TARGET"] = self.requestline.split()[1]
+        return environ
+
+
 class LoopbackServer:
     """A WSGI server on a free port of the loopback address."""
 
@@ -92,6 +101,7 @@
             log_output=False,
             debug=False,
             keepalive=KEEP_ALIVE_TIMEOUT_S,
+            protocol=_Protocol,
         )
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
@@ -413,6 +423,8 @@
         self.started_at_ms = round(1000 * time.time())
         self._write_count = 0
         self.requests: list[str] = []
+        # By request id, as they were sent.
+        self.targets: dict[str, str] = {}
         super().__init__()
 
     def register(self, store: FakeStore, state: str = "ready") -> None:
@@ -440,6 +452,7 @@
             return "421 Misdirected Request", headers, b""
         body = environ["wsgi.input"].read()
         self.requests.append(request_id)
+        self.targets[request_id] = environ["RAW_REQUEST_TARGET"]
         eventlet.sleep(self.delay_s)
         headers = {
             "X-Request-Id": request_id,
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -1,11 +1,13 @@
 """End-to-end tests of one gateway process against fakes of the platform."""
 
 import json
+import signal
 import socket
 import time
 
 import eventlet
 import pytest
+from eventlet import wsgi
 
 from corianderrill.standins import platform
 from tests.utils import gateway_rig
@@ -415,3 +417,33 @@
         received += data
         eventlet.sleep(len(data) / SLOW_READER_BYTES_PER_S)
     assert received.endswith(body)
+
+
+# Guards against a request that is forwarded with another path than it came with, and
+# takes the route of that one.
+@pytest.mark.parametrize(
+    "target",
+    ["//single/x", "/single//x", "/single/x?", "/single/x?a=%2F", "/single/%2Fx"],
+)
+def test_request_is_forwarded_with_the_path_that_was_sent(rig, target):
+    rig.publish_configuration(version=2, gather={"prefix": "/", "gather": ["single"]})
+    rig.wait_until(lambda: rig.send_request("/other/x")[0].status == 200)
+    rig.send_request(target, "as-sent")
+    assert rig.single_server.targets["as-sent"] == target
+
+
+def test_header_longer_than_16_kilobytes_is_forwarded(rig, monkeypatch):
+    # The stand-in of the server runs in this process.
+    monkeypatch.setattr(wsgi, "MAX_HEADER_LINE", 65_536)
+    response, _ = rig.send_request("/single/x", headers={"X-Long": "a" * 30_000})
+    assert response.status == 200
+
+
+# Guards against a process that a reload ends before it has installed its handlers.
+@pytest.mark.parametrize("delay_s", [0.05, 0.15, 0.25, 0.35])
+def test_reload_during_the_start_does_not_end_the_process(rig, delay_s):
+    host = rig.add_host("front-2")
+    host.start()
+    eventlet.sleep(delay_s)
+    host.signal(signal.SIGHUP)
+    rig.wait_until_ready(host)
