Read the store's replies though a name in them is no Unicode

Change: if a reply of the store can't be decoded, invalid characters are replaced and it is decoded once more; the item of that name is skipped, the others hold.

--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -405,7 +405,7 @@
 
     def _decode(self, decoder: msgspec.json.Decoder, body: bytes) -> msgspec.Struct:
         try:
-            return decoding.decode(decoder, body)
+            return decoding.decode_lenient(decoder, body)
         except decoding.DecodingError as error:
             raise StoreError(FailureKind.MALFORMED, str(error)) from error
 
