Check for hedges at the usual time, also before any reply

The hold on hedges of queries without any reply also set the first check late, when most shards had replied meanwhile.

Change: the check is set by the usual delay; the hold only decides what is sent then.

--- a/corianderrill/gateway/hedge_timing.py
+++ b/corianderrill/gateway/hedge_timing.py
@@ -46,7 +46,7 @@
     def compute_next_check_at(self, now: float) -> float:
         """Return when the next hedge may be due; infinite without any."""
         due_times = [
-            sub_request.attempts[-1].started_at + self._compute_hedge_delay_s()
+            sub_request.attempts[-1].started_at + self.latency_estimator.hedge_delay_s
             for sub_request in self._list_hedgeable()
         ]
         if not due_times:
--- a/tests/test_gateway_deadly_queries.py
+++ b/tests/test_gateway_deadly_queries.py
@@ -101,3 +101,17 @@
     site.ask()
     site.loop.run_until(2.0)
     assert count_arrivals(site) > SHARDS
+
+
+# Guards against hedges that come late since the first check was set before any reply.
+def test_slow_shard_is_hedged_in_time_once_the_others_have_replied():
+    site = virtual_servers.Site(shards=SHARDS)
+    # Warms up the estimate of the latency, on which the hedge delay rests.
+    site.run(20.0, 5.0)
+    for server in site.servers[:3]:
+        server.slow = [(0.0, 99.0, 40.0)]
+    delay_s = site.tools.get_latency_estimator(site.route).hedge_delay_s
+    work = site.ask()
+    site.loop.run_until(site.loop.now() + 2.0)
+    first, hedge, *_ = work.sub_requests[0].attempts
+    assert hedge.started_at - first.started_at < 1.3 * delay_s
