--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,16 @@
 # Added later than the seeds above, which would draw other faults with them.
 MUTED_KINDS = (faults.Kind.STORE_MUTED, faults.Kind.REPLICA_MUTED)
 INCIDENT_KINDS = (faults.Kind.STORE_RESTORED, faults.Kind.CRASHING_REQUEST)
-LATER_KINDS = (*MUTED_KINDS, faults.Kind.REPLICA_LIMITED, *INCIDENT_KINDS)
+# Those of replicas and of the store that the review and the users' letters brought up.
+REVIEW_KINDS = (
+    *(faults.Kind.REPLICA_ENDLESS, faults.Kind.REPLICA_REPEATING),
+    *(faults.Kind.REPLICA_ANNOUNCING, faults.Kind.REPLICA_QUIET),
+    *(faults.Kind.STORE_WATCHES_SILENT, faults.Kind.CALLERS_SLOW),
+)
+LATER_KINDS = (
+    *(*MUTED_KINDS, faults.Kind.REPLICA_LIMITED, *INCIDENT_KINDS),
+    *REVIEW_KINDS,
+)
 FIRST_KINDS = tuple(kind for kind in faults.Kind if kind not in LATER_KINDS)
 
 
@@ -80,3 +89,15 @@
     report = soak.run(2, 5.0, dataclasses.replace(SIZE, hosts=1), tmp_path, kinds)
     assert sum(report.endings.values()) == report.asked
     assert report.served == report.endings.get("200", 0)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_gateways_keep_their_promises_among_what_the_review_brought_up(seed, tmp_path):
+    kinds = (
+        *(*REVIEW_KINDS, faults.Kind.STORE_GARBAGE, faults.Kind.HOST_TERMINATED),
+        faults.Kind.REPLICA_REPLACED,
+    )
+    report = soak.run(seed, 2.5 * SECONDS, SIZE, tmp_path, kinds)
+    broken = [b for b in report.broken if b.check in (*TIMELESS, "announced", "pauses")]
+    assert broken == []
+    assert report.asked > 0
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -131,6 +131,24 @@
     history.limited.append(records.Limited(replica, 0.5, AT, AT + 10))
 
 
+def ask_a_replica_that_said_it_leaves(history):
+    replica = records.InstanceId("i-shard-0")
+    builders.add_query(history, "told", AT + 2)
+    told = records.Noticed(replica, records.RequestId("told"), AT + 2)
+    history.noticed.append(told)
+    builders.add_query(history, "late", AT + 2 + checks.DRAIN_S + 0.1)
+
+
+def ask_a_replica_that_wants_a_pause(history):
+    replica = records.InstanceId("i-shard-0")
+    builders.add_query(history, "told", AT + 2)
+    told = records.Noticed(replica, records.RequestId("told"), AT + 2, AT + 5)
+    history.noticed.append(told)
+    for number in range(checks.PAUSE_AT_MOST + 1):
+        at = AT + 2 + checks.PAUSE_SLACK_S + 0.1 * (number + 1)
+        builders.add_query(history, f"paused-{number}", at)
+
+
 def end_replicas_again_and_again(history):
     offsets = (1.0, 2.0, 3.0, *(7.1 + number / 10 for number in range(4)))
     for number, offset in enumerate(offsets):
@@ -158,6 +176,8 @@
     go_back_to_an_older_version: "routes",
     ask_a_replica_that_has_left: "draining",
     send_more_than_a_limit_allows: "limits",
+    ask_a_replica_that_said_it_leaves: "announced",
+    ask_a_replica_that_wants_a_pause: "pauses",
     end_replicas_again_and_again: "crashes",
     cut_a_request_at_the_end: "losses",
     cut_a_request_that_was_read_before: "losses",
