--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -4,9 +4,8 @@
 """
 
 import dataclasses
-import time
 import traceback
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 
 from corianderrill.gateway import (
     aggregators,
@@ -14,14 +13,11 @@
     event_log,
     quarantine,
     rate_limits,
-    replicas,
     view,
 )
 from corianderrill.platform import documents, store
 
 MAX_REASON_CHARACTERS = 300
-# Clocks of hosts and servers may differ by seconds, not by so much.
-MAX_CLOCK_AHEAD_S = 86_400.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,7 +33,6 @@
     quarantine: quarantine.Quarantine
     log: event_log.EventLog
     era: view.StoreEra = view.StoreEra(0)
-    wall_clock: Callable[[], float] = time.time
 
     def enter_era(self, era: view.StoreEra, now: float) -> None:
         """Take any revision for a new one, since the store counts them anew."""
@@ -170,7 +165,6 @@
             return
         try:
             registration = documents.decode_registration(item.key, item.value)
-            self._check_start_time(registration)
         except documents.DocumentError as error:
             self._record_skipped_item(item, str(error))
             self._remove_replica(replica_id, item.revision, now)
@@ -187,14 +181,6 @@
             )
         )
 
-    def _check_start_time(self, registration: replicas.Registration) -> None:
-        """Refuse a start in the far future: what that process says later is older."""
-        latest_ms = 1000 * (self.wall_clock() + MAX_CLOCK_AHEAD_S)
-        if (registration.started_at_ms or 0) > latest_ms:
-            raise documents.DocumentError(
-                f"the start {registration.started_at_ms} ms lies in the future"
-            )
-
     def _remove_replica(
         self,
         replica_id: str,
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -19,6 +19,8 @@
 CRASH_KEY_PREFIX = "crashes/"
 # A server that claims to execute more requests at once is not believed.
 MAX_CAPACITY = 1_000_000
+# The year 2100. No clock is read: the time of day may jump.
+MAX_START_MS = 4_102_444_800_000
 # Ids are sent to servers in a header, and as words in log lines.
 _REPLICA_ID = re.compile(r"[!-~]{1,192}")
 _SLOT = re.compile(r"[0-9]{1,9}")
@@ -290,6 +292,7 @@
     replica_id = parse_replica_id(key)
     if not _REPLICA_ID.fullmatch(replica_id):
         raise DocumentError(f"expected an id of printable ASCII in the key {key!r}")
+    _check_start_time(document.born)
     return replicas.Registration(
         id=replica_id,
         service=names.ServiceName(document.service),
@@ -303,6 +306,12 @@
     )
 
 
+def _check_start_time(born_ms: int | None) -> None:
+    """Refuse a start in the far future: what that process says later is older."""
+    if (born_ms or 0) > MAX_START_MS:
+        raise DocumentError(f"born: {born_ms} ms lies in the future")
+
+
 def _decode(decoder: msgspec.json.Decoder, value: bytes) -> msgspec.Struct:
     try:
         return decoding.decode(decoder, value)
