--- a/benchmarks/subrequests.py
+++ b/benchmarks/subrequests.py
@@ -29,6 +29,7 @@
     loop,
     pools,
     replicas,
+    request_outcomes,
     retry_budget,
     routes,
     shared_state,
@@ -137,7 +138,7 @@
             done.send,
         )
         work.start()
-        if done.wait() is not coordinator.RequestOutcome.COMPLETE:
+        if done.wait() is not request_outcomes.Outcome.COMPLETE:
             raise RuntimeError("the query failed; is the server up?")
 
     return query
--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -15,6 +15,7 @@
     event_log,
     in_flight,
     replica_notices,
+    request_outcomes,
     routes,
     shared_state,
     store_relay,
@@ -197,7 +198,7 @@
         self,
         inbound: requests.InboundRequest,
         query: coordinator.RequestCoordinator,
-        outcome: coordinator.RequestOutcome,
+        outcome: request_outcomes.Outcome,
     ) -> None:
         self._shared.meter.count(metrics.GATEWAY_DELEGATED_QUERIES, outcome.value)
         took_s = self._shared.loop.now() - inbound.received_at
@@ -205,7 +206,7 @@
             event_log.DelegatedQueryEnded(
                 request_id=inbound.id,
                 shards=len(query.sub_requests),
-                parts=query.count_parts(),
+                parts=query.progress.count_parts(),
                 outcome=outcome.value,
                 took_ms=round(1000 * took_s, 1),
             )
@@ -245,7 +246,7 @@
 
 def _wait_and_confirm(
     outcome_event: event.Event, sock: object
-) -> coordinator.RequestOutcome:
+) -> request_outcomes.Outcome:
     while True:
         with eventlet.Timeout(CONFIRMATION_INTERVAL_S, False):
             return outcome_event.wait()
@@ -263,20 +264,20 @@
 
 
 def _build_response(
-    query: coordinator.RequestCoordinator, outcome: coordinator.RequestOutcome
+    query: coordinator.RequestCoordinator, outcome: request_outcomes.Outcome
 ) -> wsgi_app.Response:
     match outcome:
-        case coordinator.RequestOutcome.COMPLETE | coordinator.RequestOutcome.PARTIAL:
+        case request_outcomes.Outcome.COMPLETE | request_outcomes.Outcome.PARTIAL:
             parts = query.collect_parts()
             headers = delegation_messages.list_answer_headers(
                 query.request.id, parts.signatures, parts.shards
             )
             body = top_records.merge_top_records(parts.bodies, query.route.target.top_k)
             return wsgi_app.Response(200, headers, body)
-        case coordinator.RequestOutcome.NOT_EXECUTED if query.retry_after_s is not None:
+        case request_outcomes.Outcome.NOT_EXECUTED if query.retry_after_s is not None:
             headers = delegation_messages.list_limited_headers(query.retry_after_s)
             return wsgi_app.Response(503, headers, b"")
-        case coordinator.RequestOutcome.NOT_EXECUTED:
+        case request_outcomes.Outcome.NOT_EXECUTED:
             return wsgi_app.Response(503, [requests.NOT_EXECUTED_HEADER], b"")
         case _:
             return wsgi_app.Response(502, [], b"")
--- a/corianderrill/gateway/attempt_records.py
+++ b/corianderrill/gateway/attempt_records.py
@@ -12,6 +12,11 @@
 
 # An attempt without a reply after this many hedge delays is reported as overdue.
 OVERDUE_HEDGE_DELAYS = 2.0
+# Such a reply may come from another server, or belong to another request.
+_OUTCOMES_OF_OTHER_SENDERS = (
+    replies.AttemptOutcome.UNUSABLE,
+    replies.AttemptOutcome.MISDIRECTED,
+)
 # A replica that asked for a pause is not to blame for these.
 _OUTCOMES_OF_A_PAUSE = (
     replies.AttemptOutcome.NOT_EXECUTED,
@@ -19,6 +24,22 @@
 )
 
 
+def record_reply(
+    attempt: attempts.Attempt,
+    reply: replies.Reply,
+    shared: shared_state.SharedState,
+    now: float,
+) -> replies.AttemptOutcome:
+    """Record what a reply says about its replica and zone; return its outcome."""
+    outcome = replies.classify_reply(reply, attempt.owner.request.id)
+    if outcome not in _OUTCOMES_OF_OTHER_SENDERS:
+        shared.rate_limits.record_reply(attempt.replica, reply, now)
+    if outcome is not replies.AttemptOutcome.MISDIRECTED:
+        shared.notices.record_reply(attempt.replica, reply, attempt.pool, now)
+    shared.zone_detector.record_reply(attempt.replica.registration.zone, now)
+    return outcome
+
+
 def record_outcome(
     attempt: attempts.Attempt,
     outcome: replies.AttemptOutcome,
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -7,41 +7,31 @@
 are extra attempts; the retry budget limits them.
 """
 
-import dataclasses
-import enum
-import itertools
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
+    answer_times,
     attempt_records,
+    attempt_sender,
     attempts,
     connections,
+    delegated_sub_requests,
     delegation,
     delegation_messages,
-    event_log,
+    extra_attempts,
     hedge_timing,
-    limit_plan,
+    limited_sub_requests,
     quarantine,
     replica_selector,
-    replicas,
     replies,
+    request_outcomes,
     routes,
     shared_state,
 )
 from corianderrill.platform import requests
 
-# Time from the decision to answer until the caller has received the answer. Each
-# sub-request adds to it, because its reply may still have to be read.
-ANSWER_DELIVERY_MARGIN_S = 0.0102
-ANSWER_MARGIN_PER_SUB_REQUEST_S = 0.00008
-# The request ends this long before its timeout, so that its answer arrives in time; at
-# most half of the timeout is used as the margin.
-DEADLINE_MARGIN_S = 0.015
-# After its latency goal, a query waits for missing parts for at most this multiple of
-# the goal.
-LATE_ANSWER_GOAL_FACTOR = 1.0
 # Pending replies are still read and recorded for this long after the outcome of an
 # idempotent request, or after the deadline of an at-most-once request.
 LATE_REPLY_TIMEOUT_S = 0.3
@@ -50,47 +40,13 @@
 # An attempt that could not be sent is replaced at no cost to the retry budget while
 # its sub-request has at most this many attempts.
 MAX_ATTEMPTS_FOR_UNSENT_RETRY = 3
-HEDGE_REASON = "hedge"
-# Used for a service that the configuration does not list.
-DEFAULT_MAX_CONNECTIONS = 16
-
-# Such a reply may come from another server, or belong to another request.
-_OUTCOMES_OF_OTHER_SENDERS = (
-    replies.AttemptOutcome.UNUSABLE,
-    replies.AttemptOutcome.MISDIRECTED,
-)
+
 _OUTCOMES_OF_COMPLETE_RUNS = (
     replies.AttemptOutcome.SUCCESS,
     replies.AttemptOutcome.ERROR_REPLY,
 )
 
 
-class RequestOutcome(enum.Enum):
-    """The final outcome of a request.
-
-    `ERROR_REPLY` means that the caller gets the error reply of a backend server,
-    `NOT_EXECUTED` that no replica executed the request, and `INDETERMINATE` that one
-    may have executed it.
-    """
-
-    COMPLETE = "answered"
-    PARTIAL = "partial"
-    ERROR_REPLY = "failed"
-    NOT_EXECUTED = "not-run"
-    INDETERMINATE = "broken"
-    TIMED_OUT = "timed-out"
-    CALLER_DISCONNECTED = "abandoned"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Parts:
-    """The parts of an answer, some of them merged; `shards` are their positions."""
-
-    signatures: list[str]
-    bodies: list[bytes]
-    shards: list[int]
-
-
 class RequestCoordinator:
     """Sends the attempts of one request and decides its outcome."""
 
@@ -100,8 +56,8 @@
         request: requests.InboundRequest,
         selected: routes.SelectedRoute,
         services: tuple[names.ServiceName, ...],
-        on_finished: Callable[[RequestOutcome], None],
-        answer_margin_s: float = ANSWER_DELIVERY_MARGIN_S,
+        on_finished: Callable[[request_outcomes.Outcome], None],
+        answer_margin_s: float = answer_times.ANSWER_DELIVERY_MARGIN_S,
         mode: delegation.Mode = delegation.Mode.NOTHING,
         terms: delegation_messages.Terms | None = None,
         is_caller_connected: Callable[[], bool] = lambda: True,
@@ -113,7 +69,6 @@
         self.request = request
         self.route = route = selected.route
         self.version = selected.configuration.version
-        self._service_configs = selected.configuration.services
         self.is_idempotent = route.retry_safety is routes.RetrySafety.IDEMPOTENT
         self._can_hedge = self.is_idempotent and route.max_attempts > 1
         indexes = range(len(services)) if terms is None else terms.shards
@@ -122,41 +77,45 @@
             for service, index in zip(services, indexes, strict=True)
         ]
         self.used_connections: set[connections.Connection] = set()
-        self._mode = mode
-        self._delegations: list[delegation.Delegation] = []
-        # Without answers that come after the outcome, while the response is built.
-        self._answers: list[delegation_messages.Answer] = []
-        self.outcome: RequestOutcome | None = None
-        self._succeeded_count = 0
-        self._done_count = 0
+        self.outcome: request_outcomes.Outcome | None = None
         self._was_run = False
         self.verdict = quarantine.Verdict.CLEAR
-        self.extra_attempts = 0
-        self.denied_extra_attempts = 0
         # Set if the query was refused because of rate limits or of crashes.
         self.retry_after_s: float | None = None
         self._is_trial = is_trial
         self._untried: Sequence[attempts.SubRequest] = ()
-        self._postponed: list[attempts.SubRequest] = []
-        started_at = request.received_at
-        time_limit_s = min(request.time_limit_s, route.timeout_s)
-        self.deadline_at = started_at + max(
-            time_limit_s - DEADLINE_MARGIN_S, 0.5 * time_limit_s
-        )
-        margin_s = answer_margin_s + ANSWER_MARGIN_PER_SUB_REQUEST_S * len(services)
-        self.goal_at = started_at + max(route.goal_s - margin_s, 0.0)
-        self._repeat_from = started_at
-        self._is_caller_connected = is_caller_connected
-        self._required_count = route.count_required_replies(len(self.sub_requests))
+        goal_s = answer_times.compute_goal(route, len(services), answer_margin_s)
+        required_count = route.count_required_replies(len(self.sub_requests))
+        repeat_from = request.received_at
         if terms is not None:
-            self.goal_at = started_at + terms.goal_s
-            self._required_count = min(terms.min_parts, len(self.sub_requests))
-            self._repeat_from = started_at + terms.hedge_after_s
-        self.late_answer_at = self.goal_at + LATE_ANSWER_GOAL_FACTOR * route.goal_s
+            goal_s = terms.goal_s
+            required_count = min(terms.min_parts, len(self.sub_requests))
+            repeat_from = request.received_at + terms.hedge_after_s
+        self._times = answer_times.compute_answer_times(
+            route, request.received_at, request.time_limit_s, goal_s
+        )
+        self.progress = request_outcomes.Progress(self.sub_requests, required_count)
         self._latency_estimator = shared.get_latency_estimator(route)
         self._selector = replica_selector.ReplicaSelector(
             shared, route.max_attempts, self._latency_estimator
         )
+        self._sender = attempt_sender.AttemptSender(
+            self, shared, selected.configuration.services, self._latency_estimator
+        )
+        self.extra_attempts = extra_attempts.ExtraAttempts(
+            shared,
+            request,
+            self._sender,
+            self._selector,
+            repeat_from,
+            is_caller_connected,
+        )
+        self._limited = limited_sub_requests.LimitedSubRequests(
+            shared, self._selector, self.progress
+        )
+        self._delegated = delegated_sub_requests.DelegatedSubRequests(
+            self, shared, self._selector, self.progress, mode
+        )
         self._hedge_timing = hedge_timing.HedgeTiming(
             self.sub_requests,
             self.goal_at,
@@ -165,6 +124,16 @@
         )
         self._timer = None
 
+    @property
+    def goal_at(self) -> float:
+        """When the answer has to leave to meet the latency goal."""
+        return self._times.goal_at
+
+    @property
+    def deadline_at(self) -> float:
+        """When the request ends at the latest."""
+        return self._times.deadline_at
+
     def start(self) -> None:
         """Send the first attempts; the outcome may be decided before this returns."""
         now = self.loop.now()
@@ -175,17 +144,17 @@
         self._latency_estimator.refresh(now)
         self._hedge_timing.start()
         sends_one_first = self._is_trial or self.verdict is quarantine.Verdict.SUSPECTED
-        groups = [] if sends_one_first else self._plan_delegations(now)
+        groups = [] if sends_one_first else self._delegated.plan(now)
         delegated = {s for group in groups for s in group.sub_requests}
         direct = [s for s in self.sub_requests if s not in delegated]
         if sends_one_first:
             # So that it crashes one replica at most.
             direct, self._untried = direct[:1], direct[1:]
         # Decided before anything is sent, so that a refusal says truly "not executed".
-        direct = self._hold_back_limited(direct, now)
-        if self._count_possible() >= self._required_count:
+        direct = self._limited.hold_back(direct, now)
+        if self.progress.can_succeed():
             for group in groups:
-                self._start_delegation(group)
+                self._delegated.start(group)
             self._start_first_attempts(direct, now)
             self._give_up_untried()
         self._finish_if_decided(self.loop.now())
@@ -206,7 +175,7 @@
 
     def _refuse_quarantined(self, now: float) -> None:
         for sub_request in self.sub_requests:
-            self._mark_done(sub_request)
+            self.progress.mark_done(sub_request)
         self.retry_after_s = quarantine.RETRY_AFTER_S
         self.shared.meter.count(metrics.GATEWAY_QUARANTINED)
         self._finish_if_decided(now)
@@ -219,70 +188,10 @@
             return
         untried, self._untried = self._untried, ()
         for sub_request in untried:
-            self._mark_done(sub_request)
-
-    # Rate limits of replicas.
-
-    def _hold_back_limited(
-        self, sub_requests: Sequence[attempts.SubRequest], now: float
-    ) -> Sequence[attempts.SubRequest]:
-        """Return the sub-requests to send now; mark the others as limited and done."""
-        self.shared.request_rates.record(tuple(s.service for s in sub_requests), now)
-        if not self.shared.rate_limits.has_any():
-            return sub_requests
-        needs = {s: self._selector.assess_limits(s, now) for s in sub_requests}
-        max_left_out = self._count_possible() - self._required_count
-        match self.shared.limit_planner.plan(needs, max_left_out):
-            case limit_plan.Send(
-                now=sent, postponed=postponed, unavailable=unavailable
-            ):
-                self._mark_limited((*postponed, *unavailable))
-                self._postponed.extend(postponed)
-                return sent
-            case limit_plan.Refuse(retry_after_s=retry_after_s):
-                self._mark_limited(sub_requests)
-                self.retry_after_s = retry_after_s
-                return ()
-
-    def _mark_limited(self, sub_requests: Iterable[attempts.SubRequest]) -> None:
-        for sub_request in sub_requests:
-            sub_request.is_limited = True
-            self._mark_done(sub_request)
-            self.shared.meter.count(metrics.GATEWAY_LIMITED_SUB_REQUESTS)
-
-    def _resume_postponed(self, now: float) -> None:
-        """Send the sub-requests that were postponed, now that other ones failed."""
-        postponed, self._postponed = self._postponed, []
-        for sub_request in postponed:
-            sub_request.is_limited = sub_request.is_done = False
-            self._done_count -= 1
-            self._start_attempt(sub_request, "postponed", now)
+            self.progress.mark_done(sub_request)
 
     # Delegation to aggregators.
 
-    def _plan_delegations(self, now: float) -> list[delegation.Group]:
-        """Return the groups of sub-requests that aggregators are to send."""
-        match self._mode:
-            case delegation.Mode.NOTHING:
-                return []
-            case delegation.Mode.WHOLE_QUERY:
-                groups = delegation.plan_whole_query(
-                    self.shared, self.sub_requests, now
-                )
-                if groups:
-                    return groups
-        elsewhere = self._selector.list_in_other_zones(self.sub_requests, now)
-        return delegation.plan_other_zones(self.shared, elsewhere, now)
-
-    def _start_delegation(self, group: delegation.Group) -> None:
-        max_left_out = self._count_possible() - self._required_count
-        for sub_request in group.sub_requests:
-            sub_request.is_delegated = True
-        min_parts = max(len(group.sub_requests) - max_left_out, 1)
-        started = delegation.Delegation(self, self.shared, group, min_parts)
-        self._delegations.append(started)
-        started.start()
-
     def handle_delegation_end(self, ended: delegation.Delegation) -> None:
         """Take the parts of an aggregator's answer, or replace the delegation."""
         if self.outcome is not None:
@@ -292,18 +201,20 @@
             sub_request.is_delegated = False
         match ended.outcome:
             case delegation.Outcome.ANSWERED:
-                self._take_answer(ended)
+                if ended.answer.shards:
+                    self._record_complete_run()
+                self._delegated.take_answer(ended)
             case delegation.Outcome.REFUSED | delegation.Outcome.UNSENT:
                 self._send_directly(ended.sub_requests, now)
             case delegation.Outcome.LIMITED:
-                self._mark_limited(ended.sub_requests)
+                self._limited.mark_limited(ended.sub_requests)
                 self.retry_after_s = ended.retry_after_s
             case delegation.Outcome.UNCONFIRMED if not ended.may_have_executed():
                 self._send_directly(ended.sub_requests, now)
             case delegation.Outcome.UNCONFIRMED:
                 self._replace_unconfirmed(ended, now)
             case _:
-                self._fail_delegated(ended)
+                self._delegated.give_up(ended)
         self._finish_if_decided(self.loop.now())
         if self.outcome is None and self._timer is not None:
             # Hedges of attempts that were just started may be due sooner.
@@ -314,61 +225,27 @@
         self, sub_requests: Sequence[attempts.SubRequest], now: float
     ) -> None:
         """Send what an aggregator did not take."""
-        self._start_first_attempts(self._hold_back_limited(sub_requests, now), now)
-
-    def _take_answer(self, ended: delegation.Delegation) -> None:
-        self._answers.append(ended.answer)
-        if ended.answer.shards:
-            self._record_complete_run()
-        for sub_request in ended.sub_requests:
-            if sub_request.index in ended.answer.shards:
-                sub_request.is_in_answer = True
-                self._succeeded_count += 1
-            else:
-                sub_request.lost_delegations += 1
-            self._mark_done(sub_request)
+        self._start_first_attempts(self._limited.hold_back(sub_requests, now), now)
 
     def _replace_unconfirmed(self, ended: delegation.Delegation, now: float) -> None:
         """Send extra attempts, as the aggregator may have sent the first ones."""
         waited_s = now - ended.started_at
         for sub_request in ended.sub_requests:
             sub_request.lost_delegations += 1
-            if self.outcome is None and not self._send_extra_attempt(
+            if self.outcome is None and not self.extra_attempts.send(
                 sub_request, ended.outcome.value, waited_s, now
             ):
-                self._mark_done(sub_request)
+                self.progress.mark_done(sub_request)
 
-    def _fail_delegated(self, ended: delegation.Delegation) -> None:
-        """Give up sub-requests for which the aggregator may have sent all attempts."""
-        for sub_request in ended.sub_requests:
-            sub_request.lost_delegations += 1
-            self._mark_done(sub_request)
-
-    def collect_parts(self) -> Parts:
+    def collect_parts(self) -> delegated_sub_requests.Parts:
         """Return the parts that were received, for the answer."""
-        direct = [s for s in self.sub_requests if s.reply is not None]
-        return Parts(
-            signatures=[
-                *(s.reply.signature for s in direct),
-                *itertools.chain.from_iterable(a.signatures for a in self._answers),
-            ],
-            bodies=[*(s.reply.body for s in direct), *(a.body for a in self._answers)],
-            shards=[s.index for s in self.sub_requests if s.has_part],
-        )
-
-    def count_parts(self) -> int:
-        """Return how many parts were received."""
-        return sum(sub_request.has_part for sub_request in self.sub_requests)
+        return self._delegated.collect_parts(self.sub_requests)
 
     def get_verdict_label(self) -> str:
         """Return how the request was judged at its start; empty if it was clear."""
         is_clear = self.verdict is quarantine.Verdict.CLEAR
         return "" if is_clear else self.verdict.value
 
-    def count_limited(self) -> int:
-        """Return how many sub-requests were left out because of rate limits."""
-        return sum(sub_request.is_limited for sub_request in self.sub_requests)
-
     # Sending attempts.
 
     def _start_attempt(
@@ -378,84 +255,11 @@
         replica = self._selector.select(sub_request, now)
         if replica is None:
             if not sub_request.has_pending_attempt():
-                self._mark_done(sub_request)
+                self.progress.mark_done(sub_request)
             return False
-        self._send_attempt(sub_request, replica, reason, now)
+        self._sender.send(sub_request, replica, reason, now)
         return True
 
-    def _send_attempt(
-        self,
-        sub_request: attempts.SubRequest,
-        replica: replicas.Replica,
-        reason: str,
-        now: float,
-    ) -> None:
-        attempt = attempts.Attempt(self, sub_request, replica, reason, now)
-        sub_request.attempts.append(attempt)
-        replica.record_start(attempt, now)
-        self.shared.rate_limits.acquire(replica, now)
-        attempt.used_limit = replica.rate_limit_per_s is not None
-        service = self._service_configs.get(sub_request.service)
-        max_connections = (
-            DEFAULT_MAX_CONNECTIONS if service is None else service.max_connections
-        )
-        is_same_zone = replica.registration.zone == self.shared.zone
-        address = replica.registration.address
-        attempt.pool = self.shared.pools.get(address, max_connections, is_same_zone)
-        attempt.pool.set_slots(replica.registration.slots)
-        connection = attempt.pool.send(attempt)
-        if attempt.connection is None:
-            attempt.connection = connection
-
-    def _send_extra_attempt(
-        self, sub_request: attempts.SubRequest, reason: str, waited_s: float, now: float
-    ) -> bool:
-        """Send a retry or hedge if route, retry budget and replicas allow it."""
-        if not self._may_repeat(sub_request, now):
-            return False
-        replica = self._selector.select(sub_request, now)
-        if replica is None:
-            return False
-        if reason == HEDGE_REASON and not replica.is_fit_for_hedge(now):
-            # The pending attempt is more likely to succeed, or the share of a limit is
-            # better kept for another request.
-            return False
-        if not self.shared.retry_budget.try_spend(sub_request.service, now):
-            self.denied_extra_attempts += 1
-            self.shared.meter.count(metrics.GATEWAY_REPEATS_DENIED)
-            return False
-        self.extra_attempts += 1
-        self._send_attempt(sub_request, replica, reason, now)
-        self.shared.meter.count(metrics.GATEWAY_REPEATS, reason)
-        self.shared.log.record(
-            event_log.Repeated(
-                request_id=self.request.id,
-                service=sub_request.service,
-                replica=replica.id,
-                why=reason,
-                waited_ms=round(1000 * waited_s, 1),
-                outcome="sent",
-            )
-        )
-        return True
-
-    def _may_repeat(self, sub_request: attempts.SubRequest, now: float) -> bool:
-        """Return whether to send one more attempt after those that may have run.
-
-        Another host may have sent attempts in place of this one: a host that delegates
-        a query and hears nothing sends its own. And a request that has crashed replicas
-        gets no second attempt. What a replica refused is no attempt in this sense.
-        """
-        was_sent = any(a.may_have_executed() for a in sub_request.attempts)
-        verdict = self.shared.crash_watch.assess(self.request)
-        if verdict is not quarantine.Verdict.CLEAR and (
-            was_sent or sub_request.lost_delegations
-        ):
-            return False
-        if not was_sent:
-            return True
-        return now >= self._repeat_from and self._is_caller_connected()
-
     # Handling the end of an attempt.
 
     def handle_attempt_end(
@@ -469,32 +273,22 @@
         match result:
             case connections.RawReply():
                 reply = requests.decode_reply(result)
-                outcome = replies.classify_reply(reply, self.request.id)
-                if outcome not in _OUTCOMES_OF_OTHER_SENDERS:
-                    self.shared.rate_limits.record_reply(attempt.replica, reply, now)
-                if outcome is not replies.AttemptOutcome.MISDIRECTED:
-                    self.shared.notices.record_reply(
-                        attempt.replica, reply, attempt.pool, now
-                    )
+                outcome = attempt_records.record_reply(attempt, reply, self.shared, now)
             case connections.FailedExchange(sent=sent):
                 reply = None
-                attempt.sub_request.is_awaiting_liveness = self._watch_break(
-                    attempt, result
-                )
                 outcome = (
                     replies.AttemptOutcome.UNUSABLE
                     if sent
                     else replies.AttemptOutcome.UNSENT
                 )
+                attempt.sub_request.is_awaiting_liveness = self._watch_break(
+                    attempt, result
+                )
         attempt.outcome = outcome.value
         self.shared.meter.count(metrics.GATEWAY_ATTEMPTS, outcome.value)
-        if reply is not None:
-            self.shared.zone_detector.record_reply(
-                attempt.replica.registration.zone, now
-            )
         attempt_records.record_outcome(attempt, outcome, self._latency_estimator, now)
         if outcome is replies.AttemptOutcome.UNSENT:
-            self._release_limit(attempt, now)
+            self._sender.release_limit(attempt, now)
         if outcome in _OUTCOMES_OF_COMPLETE_RUNS:
             self._record_complete_run()
         if self.outcome is not None:
@@ -562,9 +356,8 @@
         if outcome is replies.AttemptOutcome.SUCCESS:
             sub_request.is_awaiting_liveness = False
             sub_request.reply = reply
-            self._succeeded_count += 1
-            self._mark_done(sub_request)
-            self._withdraw_unsent(sub_request.attempts)
+            self.progress.record_part(sub_request)
+            self._sender.withdraw_unsent(sub_request.attempts)
             return
         if outcome is replies.AttemptOutcome.ERROR_REPLY:
             sub_request.error_reply = reply
@@ -578,17 +371,12 @@
                 sub_request, "unreachable", now
             ):
                 return
-        elif self._is_retryable(outcome) and self._send_extra_attempt(
+        elif self._is_retryable(outcome) and self.extra_attempts.send(
             sub_request, outcome.value, waited_s, now
         ):
             return
         if not sub_request.has_pending_attempt():
-            self._mark_done(sub_request)
-
-    def _mark_done(self, sub_request: attempts.SubRequest) -> None:
-        if not sub_request.is_done:
-            sub_request.is_done = True
-            self._done_count += 1
+            self.progress.mark_done(sub_request)
 
     def _is_retryable(self, outcome: replies.AttemptOutcome) -> bool:
         if outcome in (
@@ -601,13 +389,9 @@
     # Timer.
 
     def _set_timer(self, now: float) -> None:
-        due_at = self.deadline_at
+        due_at = self._times.get_next(now)
         if self._can_hedge:
             due_at = min(due_at, self._hedge_timing.compute_next_check_at(now))
-        if now < self.goal_at:
-            due_at = min(due_at, self.goal_at)
-        elif now < self.late_answer_at:
-            due_at = min(due_at, self.late_answer_at)
         delay_s = max(due_at - now, 0.0)
         self._timer = self.loop.call_later(delay_s, self._handle_timer)
 
@@ -617,7 +401,9 @@
         now = self.loop.now()
         if self._can_hedge:
             for sub_request, waited_s in self._hedge_timing.list_due(now):
-                self._send_extra_attempt(sub_request, HEDGE_REASON, waited_s, now)
+                self.extra_attempts.send(
+                    sub_request, extra_attempts.HEDGE_REASON, waited_s, now
+                )
         self._finish_if_decided(now)
         if self.outcome is None:
             self._set_timer(now)
@@ -631,72 +417,28 @@
         """
         if self.outcome is not None:
             return
-        total = len(self.sub_requests)
-        if self._postponed and self._count_possible() < self._required_count:
-            self._resume_postponed(now)
-        succeeded = self._succeeded_count
-        done = self._done_count
-        max_successes = self._count_possible()
-        if succeeded == total:
-            self._finish(RequestOutcome.COMPLETE)
-        elif max_successes < self._required_count:
-            self._finish(self._classify_failure())
-        elif done == total:
-            self._finish(RequestOutcome.PARTIAL)
+        if not self.progress.can_succeed():
+            for sub_request in self._limited.resume_postponed():
+                self._start_attempt(sub_request, "postponed", now)
+        outcome = self.progress.find_certain_outcome()
+        if outcome is not None:
+            self._finish(outcome)
         elif now >= self.deadline_at:
-            has_enough_parts = succeeded >= self._required_count
-            self._finish(
-                RequestOutcome.PARTIAL if has_enough_parts else self._classify_timeout()
-            )
-        elif succeeded >= self._required_count and self._should_answer_partially(now):
-            self._finish(RequestOutcome.PARTIAL)
-
-    def _count_possible(self) -> int:
-        """Return how many parts the answer can still have."""
-        return len(self.sub_requests) - self._done_count + self._succeeded_count
-
-    def _should_answer_partially(self, now: float) -> bool:
-        """Return whether to answer now, without the parts that are missing.
-
-        A request with enough parts is answered within `ANSWER_DELIVERY_MARGIN_S` after
-        `goal_at`. One that gets enough parts only later waits for the rest until
-        `late_answer_at`.
-        """
-        if now >= self.late_answer_at:
-            return True
-        return self.goal_at <= now < self.goal_at + ANSWER_DELIVERY_MARGIN_S
-
-    def _classify_timeout(self) -> RequestOutcome:
-        """Return `NOT_EXECUTED` if nothing was sent, since the rest is withdrawn."""
-        outcome = self._classify_failure()
-        if outcome is RequestOutcome.NOT_EXECUTED:
-            return outcome
-        return RequestOutcome.TIMED_OUT
-
-    def _classify_failure(self) -> RequestOutcome:
-        if len(self.sub_requests) == 1 and self.sub_requests[0].error_reply is not None:
-            return RequestOutcome.ERROR_REPLY
-        tried = itertools.chain.from_iterable(
-            sub_request.attempts for sub_request in self.sub_requests
-        )
-        if any(attempt.may_have_executed() for attempt in tried) or any(
-            sub_request.is_delegated
-            or sub_request.lost_delegations
-            or sub_request.is_in_answer
-            for sub_request in self.sub_requests
+            self._finish(self.progress.find_deadline_outcome())
+        elif self.progress.has_enough_parts() and self._times.allows_partial_answer(
+            now
         ):
-            return RequestOutcome.INDETERMINATE
-        return RequestOutcome.NOT_EXECUTED
+            self._finish(request_outcomes.Outcome.PARTIAL)
 
     def handle_caller_disconnect(self) -> None:
         """End the request because its caller closed the connection."""
         if self.outcome is None:
-            self._finish(RequestOutcome.CALLER_DISCONNECTED)
+            self._finish(request_outcomes.Outcome.CALLER_DISCONNECTED)
 
     def handle_shutdown(self) -> None:
         """End the request because the process is about to exit."""
         if self.outcome is None:
-            self._finish(self._classify_timeout())
+            self._finish(request_outcomes.classify_timeout(self.sub_requests))
 
     def _compute_pause_s(self, now: float) -> float:
         """Return when enough replicas want requests again, in seconds from now."""
@@ -704,42 +446,44 @@
             self._selector.compute_pause_s(sub_request.service, now)
             for sub_request in self.sub_requests
         )
-        return pauses_s[self._required_count - 1]
+        return pauses_s[self.progress.required_count - 1]
 
-    def _finish(self, outcome: RequestOutcome) -> None:
+    def _finish(self, outcome: request_outcomes.Outcome) -> None:
         self.outcome = outcome
-        if outcome is RequestOutcome.NOT_EXECUTED and self.retry_after_s is None:
-            pause_s = self._compute_pause_s(self.loop.now())
-            self.retry_after_s = pause_s if 0.0 < pause_s < math.inf else None
+        if outcome is request_outcomes.Outcome.NOT_EXECUTED:
+            self._set_retry_after()
         if self._timer is not None:
             self._timer.cancel()
-        pending = [
-            attempt
-            for sub_request in self.sub_requests
-            for attempt in sub_request.attempts
-            if attempt.ended_at is None
-        ]
-        self._withdraw_unsent(pending)
-        self._end_delegations(outcome)
+        is_caller_gone = outcome is request_outcomes.Outcome.CALLER_DISCONNECTED
+        pending = self.progress.list_pending()
+        self._sender.withdraw_unsent(pending)
+        self._delegated.end_after(0.0 if is_caller_gone else LATE_REPLY_TIMEOUT_S)
         sent = [attempt for attempt in pending if attempt.sent_at is not None]
         attempt_records.record_overdue(
             pending, self.shared, self._latency_estimator, self.loop.now()
         )
-        if (
-            sent
-            and outcome is RequestOutcome.CALLER_DISCONNECTED
-            and self.is_idempotent
-        ):
-            self._cancel_unanswered(sent)
+        if sent and is_caller_gone and self.is_idempotent:
+            self._sender.cancel_unanswered(sent)
         elif sent:
-            read_timeout_s = (
-                LATE_REPLY_TIMEOUT_S
-                if self.is_idempotent
-                else self._compute_non_idempotent_read_timeout_s()
+            self.loop.call_later(
+                self._compute_read_timeout_s(), self._sender.cancel_unanswered, sent
             )
-            self.loop.call_later(read_timeout_s, self._cancel_unanswered, sent)
         self._on_finished(outcome)
 
+    def _set_retry_after(self) -> None:
+        """Name a time of return, if limits, crashes or pauses show one."""
+        if self.retry_after_s is None:
+            self.retry_after_s = self._limited.retry_after_s
+        if self.retry_after_s is None:
+            pause_s = self._compute_pause_s(self.loop.now())
+            self.retry_after_s = pause_s if 0.0 < pause_s < math.inf else None
+
+    def _compute_read_timeout_s(self) -> float:
+        """Return how long replies are read after the outcome, in seconds."""
+        if self.is_idempotent:
+            return LATE_REPLY_TIMEOUT_S
+        return max(self.deadline_at - self.loop.now(), 0.0) + LATE_REPLY_TIMEOUT_S
+
     def release(self) -> None:
         """Let go of the attempts and parts, once the response has been built.
 
@@ -749,50 +493,12 @@
         for sub_request in self.sub_requests:
             sub_request.attempts = []
             sub_request.reply = sub_request.error_reply = None
-        self._answers = []
-        self._delegations = []
+        self._sender.owner = None
+        self._delegated.release()
         self._timer = None
         self._on_finished = _ignore_outcome
         self.used_connections.clear()
 
-    def _end_delegations(self, outcome: RequestOutcome) -> None:
-        """Cancel open delegations, at once if the caller is gone."""
-        is_caller_gone = outcome is RequestOutcome.CALLER_DISCONNECTED
-        delay_s = 0.0 if is_caller_gone else LATE_REPLY_TIMEOUT_S
-        for started in self._delegations:
-            if started.outcome is None:
-                self.loop.call_later(delay_s, started.cancel)
-
-    def _withdraw_unsent(self, candidates: Iterable[attempts.Attempt]) -> None:
-        """Cancel the attempts that were not sent."""
-        for attempt in candidates:
-            if attempt.ended_at is None and attempt.sent_at is None:
-                attempt.replica.forget_attempt(attempt)
-                self._release_limit(attempt, self.loop.now())
-                self._cancel(attempt, "withdrawn")
-
-    def _release_limit(self, attempt: attempts.Attempt, now: float) -> None:
-        if attempt.used_limit:
-            attempt.used_limit = False
-            self.shared.rate_limits.release(attempt.replica, now)
-
-    def _compute_non_idempotent_read_timeout_s(self) -> float:
-        return max(self.deadline_at - self.loop.now(), 0.0) + LATE_REPLY_TIMEOUT_S
-
-    def _cancel(self, attempt: attempts.Attempt, outcome: str) -> None:
-        attempt.ended_at = self.loop.now()
-        attempt.outcome = outcome
-        self.shared.meter.count(metrics.GATEWAY_ATTEMPTS, outcome)
-        attempt.cancel()
-
-    def _cancel_unanswered(self, pending: list[attempts.Attempt]) -> None:
-        """Cancel the attempts that are still without a reply."""
-        now = self.loop.now()
-        for attempt in pending:
-            if attempt.ended_at is None:
-                attempt_records.record_unanswered(attempt, self._latency_estimator, now)
-                self._cancel(attempt, "given-up")
-
 
-def _ignore_outcome(_outcome: RequestOutcome) -> None:
+def _ignore_outcome(_outcome: request_outcomes.Outcome) -> None:
     """Take the place of the callback of a request that has an outcome."""
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -10,6 +10,7 @@
 
 from corianderrill import metrics
 from corianderrill.gateway import (
+    answer_times,
     caller_connections,
     coordinator,
     crash_notes,
@@ -19,6 +20,7 @@
     quarantine,
     replicas,
     replies,
+    request_outcomes,
     routes,
     shared_state,
     targets,
@@ -260,7 +262,7 @@
             self._shared.query_rate.record(inbound.received_at)
         is_trial = self._try_claim_trial(inbound)
         connection = environ["corianderrill.connection"]
-        margin_s = coordinator.ANSWER_DELIVERY_MARGIN_S
+        margin_s = answer_times.ANSWER_DELIVERY_MARGIN_S
         if connection.requests_served == 0:
             margin_s += NEW_CONNECTION_MARGIN_S
         connection.requests_served += 1
@@ -288,7 +290,7 @@
         finally:
             self.in_flight.forwarded.discard(request_coordinator)
             disconnect_watcher.stop()
-        if is_trial and outcome is coordinator.RequestOutcome.NOT_EXECUTED:
+        if is_trial and outcome is request_outcomes.Outcome.NOT_EXECUTED:
             self._crash_notes.quarantine.return_trial(inbound.fingerprint)
         response = self._build_response(request_coordinator, outcome)
         self._record_request(request_coordinator, outcome, response)
@@ -355,16 +357,14 @@
     def _build_response(
         self,
         request_coordinator: coordinator.RequestCoordinator,
-        outcome: coordinator.RequestOutcome,
+        outcome: request_outcomes.Outcome,
     ) -> Response | None:
         match outcome:
-            case (
-                coordinator.RequestOutcome.COMPLETE | coordinator.RequestOutcome.PARTIAL
-            ):
+            case request_outcomes.Outcome.COMPLETE | request_outcomes.Outcome.PARTIAL:
                 return self._build_success_response(request_coordinator)
-            case coordinator.RequestOutcome.ERROR_REPLY:
+            case request_outcomes.Outcome.ERROR_REPLY:
                 return _convert_reply(request_coordinator.sub_requests[0].error_reply)
-            case coordinator.RequestOutcome.NOT_EXECUTED:
+            case request_outcomes.Outcome.NOT_EXECUTED:
                 retry_after = self._build_retry_after(
                     max(request_coordinator.retry_after_s or 0.0, MIN_RETRY_AFTER_S)
                 )
@@ -376,11 +376,11 @@
                     ],
                     b"",
                 )
-            case coordinator.RequestOutcome.INDETERMINATE:
+            case request_outcomes.Outcome.INDETERMINATE:
                 return Response(502, [_id_header(request_coordinator.request.id)], b"")
-            case coordinator.RequestOutcome.TIMED_OUT:
+            case request_outcomes.Outcome.TIMED_OUT:
                 return Response(504, [_id_header(request_coordinator.request.id)], b"")
-            case coordinator.RequestOutcome.CALLER_DISCONNECTED:
+            case request_outcomes.Outcome.CALLER_DISCONNECTED:
                 return None
 
     def _build_success_response(
@@ -443,18 +443,18 @@
     def _record_request(
         self,
         request_coordinator: coordinator.RequestCoordinator,
-        outcome: coordinator.RequestOutcome,
+        outcome: request_outcomes.Outcome,
         response: Response | None,
     ) -> None:
         now = self._shared.loop.now()
         duration_s = now - request_coordinator.request.received_at
-        part_count = request_coordinator.count_parts()
+        part_count = request_coordinator.progress.count_parts()
         missing_count = len(request_coordinator.sub_requests) - part_count
         self._count_request(
             request_coordinator.route.name, outcome, duration_s, missing_count
         )
         is_complete_in_time = (
-            outcome is coordinator.RequestOutcome.COMPLETE
+            outcome is request_outcomes.Outcome.COMPLETE
             and duration_s < request_coordinator.route.goal_s
         )
         self._shared.log.record(
@@ -469,10 +469,10 @@
                 left_ms=round(1000 * (request_coordinator.deadline_at - now), 1),
                 parts=part_count,
                 missing=missing_count,
-                repeats=request_coordinator.extra_attempts,
-                denied=request_coordinator.denied_extra_attempts,
+                repeats=request_coordinator.extra_attempts.sent_count,
+                denied=request_coordinator.extra_attempts.denied_count,
                 view_age_ms=self._get_view_age_ms(),
-                limited=request_coordinator.count_limited(),
+                limited=request_coordinator.progress.count_limited(),
                 verdict=request_coordinator.get_verdict_label(),
                 attempts=[]
                 if is_complete_in_time
@@ -483,14 +483,14 @@
     def _count_request(
         self,
         route: str,
-        outcome: coordinator.RequestOutcome,
+        outcome: request_outcomes.Outcome,
         duration_s: float,
         missing_count: int,
     ) -> None:
         meter = self._shared.meter
         meter.count(metrics.GATEWAY_REQUESTS, route, outcome.value)
         meter.observe(metrics.GATEWAY_SECONDS, duration_s, route)
-        if outcome is coordinator.RequestOutcome.PARTIAL:
+        if outcome is request_outcomes.Outcome.PARTIAL:
             meter.count(metrics.GATEWAY_MISSING_PARTS, by=missing_count)
 
 
--- a/tests/test_gateway_deadly_queries.py
+++ b/tests/test_gateway_deadly_queries.py
@@ -4,7 +4,7 @@
 while other queries need the replicas that are left.
 """
 
-from corianderrill.gateway import coordinator, crash_watch
+from corianderrill.gateway import crash_watch, request_outcomes
 from tests.utils import virtual_servers
 
 SHARDS = 10
@@ -37,7 +37,7 @@
     work = site.ask()
     site.loop.run_until(2.0)
     assert count_arrivals(site) == SHARDS
-    assert work.outcome is coordinator.RequestOutcome.INDETERMINATE
+    assert work.outcome is request_outcomes.Outcome.INDETERMINATE
 
 
 def test_suspected_query_is_sent_to_one_replica_first():
@@ -60,7 +60,7 @@
     site.loop.run_until(1.0)
     work = site.ask()
     site.loop.run_until(2.0)
-    assert work.outcome is coordinator.RequestOutcome.COMPLETE
+    assert work.outcome is request_outcomes.Outcome.COMPLETE
 
 
 def test_query_whose_connections_break_is_retried_once_the_replicas_are_known_to_live():
@@ -69,7 +69,7 @@
         server.breaking = ALL_DAY
     work = site.ask()
     site.loop.run_until(2.0)
-    assert work.outcome is coordinator.RequestOutcome.COMPLETE
+    assert work.outcome is request_outcomes.Outcome.COMPLETE
     assert site.ended[0].took_s < 0.1
 
 
@@ -78,7 +78,7 @@
     site.servers[0].breaking = ALL_DAY
     work = site.ask()
     site.loop.run_until(2.0)
-    assert work.outcome is coordinator.RequestOutcome.COMPLETE
+    assert work.outcome is request_outcomes.Outcome.COMPLETE
     assert site.ended[0].took_s < 0.03 + 0.1
 
 
--- a/tests/test_gateway_delegation.py
+++ b/tests/test_gateway_delegation.py
@@ -9,11 +9,11 @@
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import coordinator, delegation
+from corianderrill.gateway import delegation, request_outcomes
 from tests.utils import virtual_aggregators, virtual_servers
 
 Behavior = virtual_aggregators.Behavior
-Outcome = coordinator.RequestOutcome
+Outcome = request_outcomes.Outcome
 SHARDS = 10
 DIRECT_FAILURES = (Behavior.REFUSE, Behavior.UNREACHABLE, Behavior.STAY_SILENT)
 
@@ -68,13 +68,13 @@
 def test_query_that_no_replica_got_costs_no_retry_budget(behavior):
     site, _ = build_site(behavior=behavior)
     query, _ = ask_once(site)
-    assert query.extra_attempts == 0
+    assert query.extra_attempts.sent_count == 0
 
 
 def test_query_that_replicas_may_have_got_costs_retry_budget():
     site, aggregator = build_site(behavior=Behavior.STAY_SILENT)
     query, _ = ask_once(site)
-    assert query.extra_attempts == SHARDS
+    assert query.extra_attempts.sent_count == SHARDS
     assert aggregator.canceled
 
 
@@ -93,7 +93,7 @@
     query, ended = ask_once(site)
     assert ended.outcome is Outcome.COMPLETE
     assert not aggregator.queries
-    assert query.extra_attempts == 0
+    assert query.extra_attempts.sent_count == 0
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_limited_attempts.py
+++ b/tests/test_gateway_limited_attempts.py
@@ -9,11 +9,11 @@
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import coordinator, routes
+from corianderrill.gateway import request_outcomes, routes
 from tests.utils import gateway_builders as builders
 from tests.utils import virtual_servers
 
-Outcome = coordinator.RequestOutcome
+Outcome = request_outcomes.Outcome
 LIMIT_PER_S = 10.0
 
 
@@ -127,12 +127,12 @@
     for server in site.servers[3:6]:
         server.fail_share = 1.0
     query = site.ask()
-    assert query.count_limited() == 1
+    assert query.progress.count_limited() == 1
     ended = run_to_end(site)
     assert ended.outcome is Outcome.PARTIAL
     assert ended.parts == 3
     assert query.sub_requests[0].has_part
-    assert query.count_limited() == 0
+    assert query.progress.count_limited() == 0
 
 
 def test_query_short_of_shards_sends_nothing_at_all():
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -6,7 +6,12 @@
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import coordinator, replica_selection, routes
+from corianderrill.gateway import (
+    extra_attempts,
+    replica_selection,
+    request_outcomes,
+    routes,
+)
 from tests.utils import virtual_servers
 
 SEEDS = (1, 2, 3)
@@ -203,7 +208,7 @@
         server.down = [(0.0, 10.0)]
     site.ask()
     site.loop.run_until(1.0)
-    assert site.ended[0].outcome is coordinator.RequestOutcome.INDETERMINATE
+    assert site.ended[0].outcome is request_outcomes.Outcome.INDETERMINATE
     assert site.ended[0].took_s < 0.02
 
 
@@ -213,7 +218,7 @@
         server.shed_share = 1.0
     site.ask()
     site.loop.run_until(1.0)
-    assert site.ended[0].outcome is coordinator.RequestOutcome.NOT_EXECUTED
+    assert site.ended[0].outcome is request_outcomes.Outcome.NOT_EXECUTED
 
 
 def test_query_with_one_possibly_executed_part_is_indeterminate():
@@ -224,7 +229,7 @@
         server.silent = [(0.0, 10.0)]
     site.ask()
     site.loop.run_until(1.0)
-    assert site.ended[0].outcome is coordinator.RequestOutcome.INDETERMINATE
+    assert site.ended[0].outcome is request_outcomes.Outcome.INDETERMINATE
 
 
 def test_hedges_are_not_sent_to_unreachable_replicas():
@@ -238,7 +243,7 @@
         attempt
         for request in site.coordinators
         for attempt in request.sub_requests[0].attempts
-        if (attempt.reason, attempt.outcome) == (coordinator.HEDGE_REASON, "unsent")
+        if (attempt.reason, attempt.outcome) == (extra_attempts.HEDGE_REASON, "unsent")
     ]
     # An occasional attempt still goes to each replica to detect that it is down.
     assert len(unsent_hedges) < 5
@@ -280,7 +285,7 @@
     site.ask()
     site.loop.run_until(2.0)
     assert sum(server.arrivals for server in site.servers) == 1
-    assert site.ended[0].outcome is coordinator.RequestOutcome.ERROR_REPLY
+    assert site.ended[0].outcome is request_outcomes.Outcome.ERROR_REPLY
 
 
 def test_at_most_once_request_is_not_hedged():
@@ -290,7 +295,7 @@
     site.ask()
     site.loop.run_until(2.0)
     assert sum(server.arrivals for server in site.servers) == 1
-    assert site.ended[0].outcome is coordinator.RequestOutcome.TIMED_OUT
+    assert site.ended[0].outcome is request_outcomes.Outcome.TIMED_OUT
 
 
 def test_at_most_once_request_is_retried_after_a_refusal():
@@ -298,7 +303,7 @@
     site.servers[0].shed_share = 1.0
     site.ask()
     site.loop.run_until(2.0)
-    assert site.ended[0].outcome is coordinator.RequestOutcome.COMPLETE
+    assert site.ended[0].outcome is request_outcomes.Outcome.COMPLETE
 
 
 def test_request_that_all_replicas_refuse_is_reported_as_not_executed():
@@ -307,7 +312,7 @@
         server.shed_share = 1.0
     site.ask()
     site.loop.run_until(2.0)
-    assert site.ended[0].outcome is coordinator.RequestOutcome.NOT_EXECUTED
+    assert site.ended[0].outcome is request_outcomes.Outcome.NOT_EXECUTED
     asked = [server.arrivals for server in site.servers if server.arrivals]
     assert len(asked) <= 2
     assert max(asked) <= 2
@@ -345,7 +350,7 @@
     work = site.ask()
     site.loop.run_until(0.01)
     work.handle_caller_disconnect()
-    assert site.ended[0].outcome is coordinator.RequestOutcome.CALLER_DISCONNECTED
+    assert site.ended[0].outcome is request_outcomes.Outcome.CALLER_DISCONNECTED
     assert all(
         attempt.ended_at is not None for attempt in work.sub_requests[0].attempts
     )
@@ -357,7 +362,7 @@
         server.silent = [(0.0, 10.0)]
     site.ask()
     site.loop.run_until(2.0)
-    assert site.ended[0].outcome is coordinator.RequestOutcome.TIMED_OUT
+    assert site.ended[0].outcome is request_outcomes.Outcome.TIMED_OUT
     assert site.ended[0].took_s <= site.route.timeout_s
 
 
@@ -382,14 +387,14 @@
 def test_few_missing_parts_are_hedged_in_time_for_the_goal():
     site = start_query_with_varied_latency(unresponsive_count=2)
     site.loop.run_until(2.0)
-    assert site.ended[0].outcome is coordinator.RequestOutcome.COMPLETE
+    assert site.ended[0].outcome is request_outcomes.Outcome.COMPLETE
     assert site.ended[0].took_s < site.route.goal_s
 
 
 def test_many_missing_parts_are_not_hedged_before_the_hedge_delay():
     site = start_query_with_varied_latency(unresponsive_count=12)
     site.loop.run_until(0.1)
-    assert site.coordinators[0].extra_attempts == 0
+    assert site.coordinators[0].extra_attempts.sent_count == 0
 
 
 def ask_once_with_all_replicas(until_s=3.0, **windows):
@@ -406,9 +411,9 @@
 
 def test_request_that_reached_no_replica_by_its_deadline_is_refused_as_not_run():
     outcome = ask_once_with_all_replicas(dark=[(0.0, 30.0)])
-    assert outcome is coordinator.RequestOutcome.NOT_EXECUTED
+    assert outcome is request_outcomes.Outcome.NOT_EXECUTED
 
 
 def test_request_that_a_replica_may_have_got_by_its_deadline_is_not_refused():
     outcome = ask_once_with_all_replicas(silent=[(0.0, 30.0)])
-    assert outcome is coordinator.RequestOutcome.TIMED_OUT
+    assert outcome is request_outcomes.Outcome.TIMED_OUT
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from corianderrill.gateway import coordinator
+from corianderrill.gateway import request_outcomes
 from tests.utils import virtual_servers
 
 REQUESTS = 1_000
@@ -50,4 +50,4 @@
         site.loop.run_until(site.loop.now() + 0.01)
     work.release()
     site.loop.run_until(site.loop.now() + 3.0)
-    assert work.outcome is not coordinator.RequestOutcome.NOT_EXECUTED
+    assert work.outcome is not request_outcomes.Outcome.NOT_EXECUTED
--- a/tests/test_gateway_replica_notices.py
+++ b/tests/test_gateway_replica_notices.py
@@ -11,12 +11,12 @@
 from corianderrill import metrics, names
 from corianderrill.gateway import (
     connections,
-    coordinator,
     delegation_messages,
     event_log,
     replica_notices,
     replicas,
     replies,
+    request_outcomes,
     routes,
 )
 from corianderrill.platform import requests
@@ -293,7 +293,7 @@
         server.quiet = [(2.0, 8.0)]
     site.run(20.0, 8.0)
     paused = [ended for ended in site.ended if 2.5 < ended.at_s < 7.5]
-    assert {e.outcome for e in paused} == {coordinator.RequestOutcome.NOT_EXECUTED}
+    assert {e.outcome for e in paused} == {request_outcomes.Outcome.NOT_EXECUTED}
     assert max(ended.took_s for ended in paused) < 0.01
     for server in site.servers:
         assert count_after(server, 2.0 + 2 * SLACK_S, 8.0) <= MAX_DURING_PAUSE
--- a/tests/test_gateway_shared_limits.py
+++ b/tests/test_gateway_shared_limits.py
@@ -7,7 +7,12 @@
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import coordinator, demand, demand_reporter, routes
+from corianderrill.gateway import (
+    demand,
+    demand_reporter,
+    request_outcomes,
+    routes,
+)
 from tests.utils import virtual_fleets
 
 SEEDS = (1, 2, 3)
@@ -55,7 +60,7 @@
 def test_answers_stay_whole_while_one_replica_of_a_shard_has_no_limit(seed):
     fleet = run_fleet(slice(0, 2), seed)
     outcomes = {ended.outcome for ended in fleet.list_ended()}
-    assert outcomes == {coordinator.RequestOutcome.COMPLETE}
+    assert outcomes == {request_outcomes.Outcome.COMPLETE}
 
 
 def test_limits_of_a_whole_shard_are_used_and_the_other_queries_leave_it_out():
@@ -63,7 +68,7 @@
     assert max(compute_excesses(fleet)) <= 0
     ended = fleet.list_ended(since_s=8.0)
     assert all(e.parts + e.missing == 4 and e.missing <= 1 for e in ended)
-    complete = [e for e in ended if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    complete = [e for e in ended if e.outcome is request_outcomes.Outcome.COMPLETE]
     # Half of the demand is allowed.
     assert 0.35 < len(complete) / len(ended) <= 0.55
 
@@ -92,8 +97,8 @@
     fleet.run(until_s=16.0)
     assert max(compute_excesses(fleet)) <= 0
     ended = fleet.list_ended(since_s=8.0)
-    refused = [e for e in ended if e.outcome is coordinator.RequestOutcome.NOT_EXECUTED]
-    answered = [e for e in ended if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    refused = [e for e in ended if e.outcome is request_outcomes.Outcome.NOT_EXECUTED]
+    answered = [e for e in ended if e.outcome is request_outcomes.Outcome.COMPLETE]
     assert len(refused) + len(answered) == len(ended)
     assert max(e.took_s for e in refused) < 0.01
     assert max(e.took_s for e in answered) < 0.5
@@ -125,7 +130,7 @@
     fleet.run(until_s=60.0)
     assert max(compute_excesses(fleet)) <= 0
     late = fleet.list_ended(since_s=50.0)
-    complete = [e for e in late if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    complete = [e for e in late if e.outcome is request_outcomes.Outcome.COMPLETE]
     assert len(complete) / len(late) > 0.9
 
 
@@ -146,7 +151,7 @@
     fleet.run((8.0, 8.0, 8.0), until_s=30.0)
     assert max(compute_excesses(fleet)) <= 0
     ended = fleet.list_ended(since_s=LIMITS_END_S + NOTICED_WITHIN_S)
-    refused = [e for e in ended if e.outcome is coordinator.RequestOutcome.NOT_EXECUTED]
+    refused = [e for e in ended if e.outcome is request_outcomes.Outcome.NOT_EXECUTED]
     assert not refused
 
 
@@ -223,7 +228,7 @@
     assert max(compute_excesses(fleet)) <= 0
     # Its demand is less than the limits of the replicas of a shard together.
     ended = [e for e in busy.ended if e.at_s >= LIMITS_FROM_S + NOTICED_WITHIN_S]
-    served = [e for e in ended if e.outcome is coordinator.RequestOutcome.COMPLETE]
+    served = [e for e in ended if e.outcome is request_outcomes.Outcome.COMPLETE]
     assert len(served) / len(ended) > 0.9
 
 
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -20,6 +20,7 @@
     query_rate,
     rate_limits,
     replica_notices,
+    request_outcomes,
     request_rates,
     retry_budget,
     routes,
@@ -331,7 +332,7 @@
 
     at_s: float
     took_s: float
-    outcome: coordinator.RequestOutcome
+    outcome: request_outcomes.Outcome
     parts: int
     missing: int
 
@@ -434,7 +435,7 @@
 
         def conclude(conclusion):
             work = holder[0]
-            parts = work.count_parts()
+            parts = work.progress.count_parts()
             self.ended.append(
                 Ended(
                     inbound.received_at,
@@ -478,7 +479,10 @@
     def compute_on_time_share(self, since_s=0.0):
         """Return the share of requests with a success within the goal."""
         asked = [ended for ended in self.ended if ended.at_s >= since_s]
-        good = (coordinator.RequestOutcome.COMPLETE, coordinator.RequestOutcome.PARTIAL)
+        good = (
+            request_outcomes.Outcome.COMPLETE,
+            request_outcomes.Outcome.PARTIAL,
+        )
         on_time = [
             ended
             for ended in asked
@@ -489,6 +493,6 @@
     def compute_complete_share(self):
         """Return the share of requests whose answer holds every part."""
         whole = [
-            e for e in self.ended if e.outcome is coordinator.RequestOutcome.COMPLETE
+            e for e in self.ended if e.outcome is request_outcomes.Outcome.COMPLETE
         ]
         return len(whole) / len(self.ended)
