Split the responses, refusals and records out of wsgi_app

wsgi_app.py had 548 lines and four jobs: serving, reading bodies, judging whether replicas can take a request, and building and recording responses. Authentication and quotas add steps to it. The last three jobs move to request_bodies, availability, refusals, responses and request_records; the behaviour is the same. wsgi_app.py has 270 lines. The tests of the process, aggregation, the view and limited processes pass.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -15,11 +15,12 @@
     event_log,
     in_flight,
     replica_notices,
+    request_bodies,
+    responses,
     routes,
     shared_state,
     store_relay,
     top_records,
-    wsgi_app,
 )
 from corianderrill.platform import requests, store
 
@@ -64,7 +65,7 @@
         return 2.0 * KEEP_ALIVE_S
 
     def __call__(
-        self, environ: dict[str, object], start_response: wsgi_app.StartResponse
+        self, environ: dict[str, object], start_response: responses.StartResponse
     ) -> Iterable[bytes]:
         """Serve one delegated query or call to the store (the WSGI entry point)."""
         is_query = environ["RAW_PATH_INFO"] not in STORE_PATHS
@@ -94,19 +95,19 @@
                 registration.id, registration.started_at_ms
             )
 
-    def _relay_call(self, environ: dict[str, object]) -> wsgi_app.Response:
+    def _relay_call(self, environ: dict[str, object]) -> responses.Response:
         body = self._relay.answer(
             environ["RAW_PATH_INFO"], environ.get("QUERY_STRING") or ""
         )
         if body is None:
-            return wsgi_app.Response(503, [], b"")
+            return responses.Response(503, [], b"")
         headers = [
             ("Content-Type", "application/json"),
             (store.ERA_HEADER, str(self._relay.history.era)),
         ]
-        return wsgi_app.Response(200, headers, body)
+        return responses.Response(200, headers, body)
 
-    def _serve_counted(self, environ: dict[str, object]) -> wsgi_app.Response:
+    def _serve_counted(self, environ: dict[str, object]) -> responses.Response:
         self.in_flight.begin()
         try:
             return self._serve(environ)
@@ -116,7 +117,7 @@
         finally:
             self.in_flight.end_serving()
 
-    def _serve(self, environ: dict[str, object]) -> wsgi_app.Response:
+    def _serve(self, environ: dict[str, object]) -> responses.Response:
         received_at = self._shared.loop.now()
         headers = environ["headers_raw"]
         request_id = requests.find_header(headers, requests.REQUEST_ID_HEADER) or ""
@@ -138,7 +139,9 @@
         if not _confirm(sock):
             return self._refuse(request_id, "disconnected")
         try:
-            body = wsgi_app.read_body(environ, configuration.limits.max_body_bytes)
+            body = request_bodies.read_body(
+                environ, configuration.limits.max_body_bytes
+            )
         except (OSError, wsgi.ChunkReadError) as error:
             return self._refuse(request_id, f"body incomplete: {error}")
         if body is None:
@@ -162,7 +165,7 @@
         inbound: requests.InboundRequest,
         selected: routes.SelectedRoute,
         terms: delegation_messages.Terms,
-    ) -> wsgi_app.Response:
+    ) -> responses.Response:
         outcome_event = event.Event()
         query = coordinator.RequestCoordinator(
             self._shared,
@@ -211,14 +214,14 @@
             )
         )
 
-    def _refuse(self, request_id: str, reason: str) -> wsgi_app.Response:
+    def _refuse(self, request_id: str, reason: str) -> responses.Response:
         """Refuse a query before any sub-request was sent."""
         self._shared.meter.count(metrics.GATEWAY_DELEGATED_QUERIES, "refused")
         self._shared.log.record(
             event_log.DelegatedQueryEnded(request_id, 0, 0, reason, 0.0)
         )
         headers = [requests.NOT_EXECUTED_HEADER]
-        return wsgi_app.Response(503, headers, b"")
+        return responses.Response(503, headers, b"")
 
 
 def _covers(route: routes.Route, shards: tuple[int, ...]) -> bool:
@@ -264,7 +267,7 @@
 
 def _build_response(
     query: coordinator.RequestCoordinator, outcome: coordinator.RequestOutcome
-) -> wsgi_app.Response:
+) -> responses.Response:
     match outcome:
         case coordinator.RequestOutcome.COMPLETE | coordinator.RequestOutcome.PARTIAL:
             parts = query.collect_parts()
@@ -272,11 +275,11 @@
                 query.request.id, parts.signatures, parts.shards
             )
             body = top_records.merge_top_records(parts.bodies, query.route.target.top_k)
-            return wsgi_app.Response(200, headers, body)
+            return responses.Response(200, headers, body)
         case coordinator.RequestOutcome.NOT_EXECUTED if query.retry_after_s is not None:
             headers = delegation_messages.list_limited_headers(query.retry_after_s)
-            return wsgi_app.Response(503, headers, b"")
+            return responses.Response(503, headers, b"")
         case coordinator.RequestOutcome.NOT_EXECUTED:
-            return wsgi_app.Response(503, [requests.NOT_EXECUTED_HEADER], b"")
+            return responses.Response(503, [requests.NOT_EXECUTED_HEADER], b"")
         case _:
-            return wsgi_app.Response(502, [], b"")
+            return responses.Response(502, [], b"")
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -30,6 +30,7 @@
     rate_limits,
     replica_notices,
     request_rates,
+    responses,
     retry_budget,
     scrape,
     shared_state,
@@ -393,7 +394,7 @@
     """Serve a listener whose responses depend only on the path."""
 
     def application(
-        environ: dict[str, object], start_response: wsgi_app.StartResponse
+        environ: dict[str, object], start_response: responses.StartResponse
     ) -> list[bytes]:
         code, headers, body = respond(environ["PATH_INFO"])
         length = ("Content-Length", str(len(body)))
--- /dev/null
+++ b/corianderrill/gateway/refusals.py
@@ -0,0 +1,54 @@
+"""Refuses requests before they are forwarded, and records why."""
+
+import dataclasses
+
+from corianderrill import metrics
+from corianderrill.gateway import event_log, in_flight, responses, shared_state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusals:
+    """Builds the responses to the requests that are not forwarded."""
+
+    shared: shared_state.SharedState
+    in_flight: in_flight.InFlightRequests
+
+    def refuse(
+        self,
+        request_id: str,
+        route: str,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> responses.Response:
+        """Return the response to a request that is refused; `reason` is recorded."""
+        headers = [responses.build_id_header(request_id)] if request_id else []
+        if retry_after_s is not None:
+            headers.append(responses.build_retry_after(retry_after_s, self.shared.rng))
+        view = self.shared.view
+        configuration = view.configuration
+        self.shared.meter.count(metrics.GATEWAY_REFUSALS, reason)
+        self.shared.log.record(
+            event_log.RequestRefused(
+                request_id=request_id,
+                route=route,
+                version=None if configuration is None else configuration.version,
+                status=status,
+                reason=reason,
+                retry_after_s=retry_after_s,
+                in_flight=self.in_flight.served,
+                view_age_ms=view.get_age_ms(self.shared.loop.now()),
+            )
+        )
+        return responses.Response(status, headers, b"")
+
+    def record_incomplete_body(
+        self, request_id: str, route: str, error: OSError
+    ) -> None:
+        """Record that a caller has not sent its whole request body."""
+        self.shared.meter.count(metrics.GATEWAY_REFUSALS, "body-incomplete")
+        self.shared.log.record(
+            event_log.BodyIncomplete(
+                request_id=request_id, route=route, error=str(error)
+            )
+        )
--- /dev/null
+++ b/corianderrill/gateway/request_records.py
@@ -0,0 +1,96 @@
+"""The log record and the metrics of a request that has an outcome."""
+
+import itertools
+
+from corianderrill import metrics
+from corianderrill.gateway import (
+    coordinator,
+    event_log,
+    replicas,
+    responses,
+    shared_state,
+)
+
+
+def record_request(
+    shared: shared_state.SharedState,
+    request_coordinator: coordinator.RequestCoordinator,
+    outcome: coordinator.RequestOutcome,
+    response: responses.Response | None,
+) -> None:
+    """Log and count a request that has an outcome."""
+    now = shared.loop.now()
+    duration_s = now - request_coordinator.request.received_at
+    part_count = request_coordinator.count_parts()
+    missing_count = len(request_coordinator.sub_requests) - part_count
+    _count_request(
+        shared.meter,
+        request_coordinator.route.name,
+        outcome,
+        duration_s,
+        missing_count,
+    )
+    is_complete_in_time = (
+        outcome is coordinator.RequestOutcome.COMPLETE
+        and duration_s < request_coordinator.route.goal_s
+    )
+    shared.log.record(
+        event_log.RequestEnded(
+            request_id=request_coordinator.request.id,
+            route=request_coordinator.route.name,
+            version=request_coordinator.version,
+            status=0 if response is None else response.status,
+            outcome=outcome.value,
+            took_ms=round(1000 * duration_s, 1),
+            goal_ms=round(1000 * request_coordinator.route.goal_s, 1),
+            left_ms=round(1000 * (request_coordinator.deadline_at - now), 1),
+            parts=part_count,
+            missing=missing_count,
+            repeats=request_coordinator.extra_attempts,
+            denied=request_coordinator.denied_extra_attempts,
+            view_age_ms=shared.view.get_age_ms(now),
+            limited=request_coordinator.count_limited(),
+            verdict=request_coordinator.get_verdict_label(),
+            attempts=[]
+            if is_complete_in_time
+            else _summarize_attempts(request_coordinator),
+        )
+    )
+
+
+def _count_request(
+    meter: metrics.Recorder,
+    route: str,
+    outcome: coordinator.RequestOutcome,
+    duration_s: float,
+    missing_count: int,
+) -> None:
+    meter.count(metrics.GATEWAY_REQUESTS, route, outcome.value)
+    meter.observe(metrics.GATEWAY_SECONDS, duration_s, route)
+    if outcome is coordinator.RequestOutcome.PARTIAL:
+        meter.count(metrics.GATEWAY_MISSING_PARTS, by=missing_count)
+
+
+def _summarize_attempts(
+    request_coordinator: coordinator.RequestCoordinator,
+) -> list[event_log.AttemptSummary]:
+    received_at = request_coordinator.request.received_at
+    attempts = itertools.chain.from_iterable(
+        sub_request.attempts for sub_request in request_coordinator.sub_requests
+    )
+    return [
+        event_log.AttemptSummary(
+            service=attempt.sub_request.service,
+            replica=replicas.InstanceId(attempt.replica.id),
+            why=attempt.reason,
+            at_ms=round(1000 * (attempt.started_at - received_at), 1),
+            sent_ms=_compute_elapsed_ms(attempt.sent_at, received_at),
+            ended_ms=_compute_elapsed_ms(attempt.ended_at, received_at),
+            outcome=attempt.outcome,
+        )
+        for attempt in attempts
+    ]
+
+
+def _compute_elapsed_ms(at: float | None, start: float) -> float | None:
+    return None if at is None else round(1000 * (at - start), 1)
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -118,6 +118,10 @@
         """Return the time since the store confirmed the view; infinite if never."""
         return now - self.confirmed_at
 
+    def get_age_ms(self, now: float) -> float | None:
+        """Return the age of the view for the log; None if it was never confirmed."""
+        return round(1000 * self.get_age_s(now)) if self.was_confirmed() else None
+
     def record_store_recovery(self, now: float) -> None:
         """Distrust removals for a while, now that the store answers after an outage."""
         self.distrust_removals(now + RECOVERY_GRACE_S)
