Ask callers for a key where the configuration has workspaces

Anybody could send requests to any route. authentication decides from the configuration that routed a request, its route and its headers which workspace it belongs to. A missing or unknown key is refused with 401, or with 503 by a host whose copy of the configuration is old. It is judged again after the body was read, as the route is.

Sub-requests carry X-Tenant with the name of the workspace. The caller's own X-Tenant and its key, also in other spellings of these headers, go to no replica and to no other host; aggregators take the workspace from the entry host. The fingerprint of the quarantine has the workspace in place of the key. Without workspaces the bytes and fingerprints are as before.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -8,6 +8,7 @@
 
 from corianderrill import metrics
 from corianderrill.gateway import (
+    authentication,
     caller_connections,
     coordinator,
     delegation,
@@ -156,6 +157,7 @@
             )
             or selected.route.timeout_s,
             received_at,
+            authentication.accept_delegated(selected, headers).workspace,
         )
         return self._answer(sock, inbound, selected, terms)
 
--- a/corianderrill/gateway/refusals.py
+++ b/corianderrill/gateway/refusals.py
@@ -3,7 +3,14 @@
 import dataclasses
 
 from corianderrill import metrics
-from corianderrill.gateway import event_log, in_flight, responses, shared_state
+from corianderrill.gateway import (
+    authentication,
+    event_log,
+    in_flight,
+    responses,
+    shared_state,
+)
+from corianderrill.platform import requests
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +32,8 @@
         headers = [responses.build_id_header(request_id)] if request_id else []
         if retry_after_s is not None:
             headers.append(responses.build_retry_after(retry_after_s, self.shared.rng))
+        if status == authentication.STATUS_UNAUTHORIZED:
+            headers.append(requests.AUTHENTICATE_HEADER)
         view = self.shared.view
         configuration = view.configuration
         self.shared.meter.count(metrics.GATEWAY_REFUSALS, reason)
--- a/corianderrill/gateway/responses.py
+++ b/corianderrill/gateway/responses.py
@@ -17,6 +17,7 @@
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -6,6 +6,7 @@
 from eventlet import event, wsgi
 
 from corianderrill.gateway import (
+    authentication,
     availability,
     caller_connections,
     coordinator,
@@ -117,6 +118,9 @@
         if selected is None:
             return self._refuse_unknown_route(request_id)
         route = selected.route
+        caller = authentication.authenticate(selected, headers)
+        if isinstance(caller, authentication.Denied):
+            return self._refuse_key(request_id, route, caller.fault)
         if not request_id:
             return self._refusals.refuse(request_id, route.name, 400, "no-request-id")
         if self.in_flight.served > MAX_IN_FLIGHT_REQUESTS:
@@ -148,6 +152,9 @@
         if selected is None:
             return self._refuse_unknown_route(request_id)
         route = selected.route
+        caller = authentication.authenticate(selected, headers)
+        if isinstance(caller, authentication.Denied):
+            return self._refuse_key(request_id, route, caller.fault)
         time_limit_s = self._compute_time_limit_s(headers, route, received_at)
         if time_limit_s is None:
             return self._refusals.refuse(
@@ -164,6 +171,7 @@
             body,
             time_limit_s,
             received_at,
+            caller.workspace,
         )
         return self._forward(environ, inbound, selected)
 
@@ -195,6 +203,20 @@
             request_id, "", 503, "no-route-yet", NO_CONFIGURATION_RETRY_AFTER_S
         )
 
+    def _refuse_key(
+        self, request_id: str, route: routes.Route, fault: authentication.KeyFault
+    ) -> responses.Response:
+        refusal = authentication.find_refusal(
+            fault, self._shared.view, self._shared.loop.now()
+        )
+        return self._refusals.refuse(
+            request_id,
+            route.name,
+            refusal.status,
+            refusal.reason,
+            refusal.retry_after_s,
+        )
+
     def _wait_for_configuration(self, now: float) -> routes.Configuration | None:
         """Return the configuration.
 
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -186,6 +186,10 @@
 
 
 def _convert_workspace(tenant: _WireWorkspace) -> routes.Workspace:
+    name = tenant.name
+    if not name or name != name.strip() or not name.isprintable():
+        # It is sent as the value of a header.
+        raise DocumentError(f"tenants: expected a printable name, found {name!r}")
     return routes.Workspace(
         name=names.WorkspaceName(tenant.name),
         priority=tenant.priority,
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Sequence
 
 from corianderrill import names
-from corianderrill.gateway import connections, quarantine, replicas, replies
+from corianderrill.gateway import connections, quarantine, replicas, replies, routes
 
 REQUEST_ID_HEADER = "X-Request-Id"
 DEADLINE_MS_HEADER = "X-Deadline-Ms"
@@ -15,6 +15,11 @@
 PART_STAMPS_HEADER = "X-Part-Stamps"
 MISSING_PARTS_HEADER = "X-Missing-Parts"
 CREDENTIALS_HEADER = "Authorization"
+WORKSPACE_HEADER = "X-Tenant"
+# The scheme of `Authorization` with which callers send a key, in lower case.
+KEY_SCHEME = "bearer"
+# Beside status 401: the scheme that is expected.
+AUTHENTICATE_HEADER = ("WWW-Authenticate", "Bearer")
 FINGERPRINT_BYTES = 12
 RETRY_AFTER_HEADER = "Retry-After"
 READY_PATH = "/api/ready"
@@ -46,6 +51,10 @@
 # Tells the sender of a request that it was not executed.
 NOT_EXECUTED_HEADER = ("X-Not-Executed", "1")
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+# The end of a header line that goes on in the next one.
+_LINE_FOLD = re.compile(r"[\r\n]+[ \t]*")
+# Not forwarded while the configuration has workspaces.
+_IDENTITY_HEADERS = frozenset((CREDENTIALS_HEADER.lower(), WORKSPACE_HEADER.lower()))
 # Replaced on a sub-request by values of the gateway.
 _OVERWRITTEN_HEADERS = frozenset(
     (DEADLINE_MS_HEADER.lower(), EXPECT_INSTANCE_HEADER.lower())
@@ -69,14 +78,18 @@
     received_at: float
     head: bytes
     body: bytes
-    # What the caller proves its identity with; empty if it does not.
+    # What the caller proves its identity with, where the configuration has no
+    # workspaces; empty if it does not.
     credentials: str = ""
+    # Empty if the request belongs to none.
+    workspace: names.WorkspaceName = names.WorkspaceName("")
 
     @functools.cached_property
     def fingerprint(self) -> quarantine.Fingerprint:
         """What this request has in common with its repetitions."""
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-        for part in (self.method, self.host.lower(), self.target, self.credentials):
+        caller = _encode_workspace(self.workspace) or self.credentials
+        for part in (self.method, self.host.lower(), self.target, caller):
             digest.update(part.encode("latin-1") + b"\n")
         digest.update(self.body)
         return quarantine.Fingerprint(digest.hexdigest())
@@ -108,12 +121,18 @@
     body: bytes,
     time_limit_s: float,
     received_at: float,
+    workspace: names.WorkspaceName | None = None,
 ) -> InboundRequest:
-    """Return a request, with the head of its sub-requests already rendered."""
+    """Return a request, with the head of its sub-requests already rendered.
+
+    `workspace` is empty if the request belongs to none, and None if the configuration
+    has no workspaces. Then all headers that tell who the caller is are its own.
+    """
+    forwarded = _list_forwarded_headers(headers)
+    if workspace is not None:
+        forwarded = _replace_identity(forwarded, workspace)
     head_lines = [f"{method} {target} HTTP/1.1"]
-    head_lines += [
-        f"{name}: {value}" for name, value in _list_forwarded_headers(headers)
-    ]
+    head_lines += [f"{name}: {value}" for name, value in forwarded]
     if body or method not in ("GET", "HEAD"):
         head_lines.append(f"Content-Length: {len(body)}")
     head_lines.append("")
@@ -126,10 +145,65 @@
         received_at=received_at,
         head="\r\n".join(head_lines).encode("latin-1"),
         body=body,
-        credentials=find_header(headers, CREDENTIALS_HEADER) or "",
+        credentials=(
+            (find_header(headers, CREDENTIALS_HEADER) or "")
+            if workspace is None
+            else ""
+        ),
+        workspace=workspace or names.WorkspaceName(""),
     )
 
 
+def parse_key(headers: Iterable[tuple[str, str]]) -> routes.WorkspaceKey | None:
+    """Return the key that a caller sends; None without one or with several."""
+    values = [v for k, v in headers if k.lower() == CREDENTIALS_HEADER.lower()]
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].strip(" \t").partition(" ")
+    key = _decode_text(key.strip(" \t"))
+    if scheme.lower() != KEY_SCHEME or not key:
+        return None
+    return routes.WorkspaceKey(key)
+
+
+def parse_workspace(headers: Iterable[tuple[str, str]]) -> names.WorkspaceName:
+    """Return the workspace that the entry host names; empty if it names none."""
+    return names.WorkspaceName(
+        _decode_text(find_header(headers, WORKSPACE_HEADER) or "")
+    )
+
+
+def _replace_identity(
+    headers: Iterable[tuple[str, str]], workspace: names.WorkspaceName
+) -> list[tuple[str, str]]:
+    """Return headers that name a workspace in place of what the caller says it is.
+
+    Servers may take other spellings of a name for the same header, and a line that goes
+    on in the next one for two.
+    """
+    kept = [
+        (name, _LINE_FOLD.sub(" ", value))
+        for name, value in headers
+        if name.strip().lower().replace("_", "-") not in _IDENTITY_HEADERS
+    ]
+    if workspace:
+        kept.append((WORKSPACE_HEADER, _encode_workspace(workspace)))
+    return kept
+
+
+def _encode_workspace(workspace: names.WorkspaceName) -> str:
+    """Return a name as the text of a header, whose bytes are in UTF-8."""
+    return workspace.encode().decode("latin-1")
+
+
+def _decode_text(text: str) -> str:
+    """Return the text of a header whose bytes may be in UTF-8."""
+    try:
+        return text.encode("latin-1").decode()
+    except UnicodeError:
+        return text
+
+
 def find_header(headers: Iterable[tuple[str, str]], name: str) -> str | None:
     """Return the value of the first header with a name, ignoring case."""
     wanted = name.lower()
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -101,6 +101,8 @@
     goal_s=0.09,
     max_attempts=2,
     name="r-1",
+    priority=1,
+    is_public=False,
 ):
     return routes.Route(
         name=routes.RouteName(name),
@@ -110,13 +112,22 @@
         retry_safety=retry_safety,
         timeout_s=timeout_s,
         goal_s=goal_s,
-        priority=1,
+        priority=priority,
         max_attempts=max_attempts,
+        is_public=is_public,
     )
 
 
+def build_workspace(name="kami", priority=0, requests_per_s=None):
+    return routes.Workspace(names.WorkspaceName(name), priority, requests_per_s)
+
+
 def build_configuration(
-    *route_list, version=1, services=("shard-1",), max_connections=26
+    *route_list,
+    version=1,
+    services=("shard-1",),
+    max_connections=26,
+    workspaces_by_key=None,
 ):
     return routes.build_configuration(
         routes.ConfigurationVersion(version),
@@ -126,6 +137,7 @@
             for name in services
         ),
         routes.CallerLimits(),
+        workspaces_by_key,
     )
 
 
--- a/tests/utils/gateway_rig.py
+++ b/tests/utils/gateway_rig.py
@@ -23,7 +23,7 @@
 SHARDS = ("one", "two", "three")
 
 
-def build_configuration(version=1, **route_changes):
+def build_configuration(version=1, tenants=None, **route_changes):
     defaults = {"host": HOST, "priority": 1, "max_attempts": 2, "latency_goal_ms": 500}
     route_documents = [
         {
@@ -49,7 +49,8 @@
         {**route, **route_changes.get(route["name"], {})} for route in route_documents
     ]
     services = [{"name": name, "max_conns": 26} for name in (*SHARDS, "single")]
-    return {"version": version, "routes": route_documents, "services": services}
+    document = {"version": version, "routes": route_documents, "services": services}
+    return document if tenants is None else {**document, "tenants": tenants}
 
 
 class Alias(platform.LoopbackServer):
