Keep the refusals of keys and routes in one place

Both depend on whether this host follows the store; wsgi_app and authentication had a copy each. The counter of refusals has room for 32 reasons, since it would have reached its 16 with the new ones.

--- a/corianderrill/gateway/authentication.py
+++ b/corianderrill/gateway/authentication.py
@@ -9,12 +9,10 @@
 from collections.abc import Sequence
 
 from corianderrill import names
-from corianderrill.gateway import routes, send_order, view, workspace_ranks
+from corianderrill.gateway import routes, send_order, workspace_ranks
 from corianderrill.platform import requests
 
-STATUS_UNAUTHORIZED = 401
-STATUS_UNAVAILABLE = 503
-NOT_CURRENT_RETRY_AFTER_S = 0.2
+NO_WORKSPACE = names.WorkspaceName("")
 
 
 class KeyFault(enum.Enum):
@@ -38,18 +36,6 @@
     fault: KeyFault
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyRefusal:
-    """The status and reason with which a request is refused because of its key."""
-
-    status: int
-    reason: str
-    retry_after_s: float | None
-
-
-NO_WORKSPACE = names.WorkspaceName("")
-
-
 def authenticate(
     selected: routes.SelectedRoute, headers: Sequence[tuple[str, str]]
 ) -> Accepted | Denied:
@@ -79,15 +65,3 @@
         return Accepted(send_order.NO_WORKSPACES)
     workspace = requests.parse_workspace(headers)
     return Accepted(workspace_ranks.compute_rank(selected, workspace))
-
-
-def find_refusal(fault: KeyFault, current_view: view.View, now: float) -> KeyRefusal:
-    """Return how to refuse a request because of its key.
-
-    The key may have been added in a version that a host out of touch does not have.
-    """
-    if current_view.is_current(now):
-        return KeyRefusal(STATUS_UNAUTHORIZED, fault.value, None)
-    return KeyRefusal(
-        STATUS_UNAVAILABLE, f"{fault.value}-yet", NOT_CURRENT_RETRY_AFTER_S
-    )
--- a/corianderrill/gateway/refusals.py
+++ b/corianderrill/gateway/refusals.py
@@ -12,6 +12,10 @@
 )
 from corianderrill.platform import requests
 
+STATUS_UNAUTHORIZED = 401
+# A host that is out of touch with the store is mostly so for a short time.
+NOT_CURRENT_RETRY_AFTER_S = 0.2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusals:
@@ -32,7 +36,7 @@
         headers = [responses.build_id_header(request_id)] if request_id else []
         if retry_after_s is not None:
             headers.append(responses.build_retry_after(retry_after_s, self.shared.rng))
-        if status == authentication.STATUS_UNAUTHORIZED:
+        if status == STATUS_UNAUTHORIZED:
             headers.append(requests.AUTHENTICATE_HEADER)
         view = self.shared.view
         configuration = view.configuration
@@ -51,6 +55,27 @@
         )
         return responses.Response(status, headers, b"")
 
+    def refuse_unknown_route(self, request_id: str) -> responses.Response:
+        """Refuse a request that has no route, which may have been added meanwhile."""
+        if self._is_view_current():
+            return self.refuse(request_id, "", 404, "no-route")
+        return self.refuse(
+            request_id, "", 503, "no-route-yet", NOT_CURRENT_RETRY_AFTER_S
+        )
+
+    def refuse_key(
+        self, request_id: str, route: str, fault: authentication.KeyFault
+    ) -> responses.Response:
+        """Refuse a request because of its key, which may have been added meanwhile."""
+        if self._is_view_current():
+            return self.refuse(request_id, route, STATUS_UNAUTHORIZED, fault.value)
+        return self.refuse(
+            request_id, route, 503, f"{fault.value}-yet", NOT_CURRENT_RETRY_AFTER_S
+        )
+
+    def _is_view_current(self) -> bool:
+        return self.shared.view.is_current(self.shared.loop.now())
+
     def record_incomplete_body(
         self, request_id: str, route: str, error: OSError
     ) -> None:
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -25,7 +25,6 @@
 from corianderrill.platform import requests
 
 MAX_IN_FLIGHT_REQUESTS = 600
-NO_CONFIGURATION_RETRY_AFTER_S = 0.2
 # A host has a configuration that the store confirmed within this time after its start,
 # if the store answers. Requests that arrive before wait for it.
 STARTUP_WAIT_S = 0.25
@@ -110,17 +109,21 @@
         configuration = self._wait_for_configuration(received_at)
         if configuration is None:
             return self._refusals.refuse(
-                request_id, "", 503, "no-configuration", NO_CONFIGURATION_RETRY_AFTER_S
+                request_id,
+                "",
+                503,
+                "no-configuration",
+                refusals.NOT_CURRENT_RETRY_AFTER_S,
             )
         path = environ["RAW_PATH_INFO"]
         host = requests.find_header(headers, "Host") or ""
         selected = configuration.select_route(host, path)
         if selected is None:
-            return self._refuse_unknown_route(request_id)
+            return self._refusals.refuse_unknown_route(request_id)
         route = selected.route
         caller = authentication.authenticate(selected, headers)
         if isinstance(caller, authentication.Denied):
-            return self._refuse_key(request_id, route, caller.fault)
+            return self._refusals.refuse_key(request_id, route.name, caller.fault)
         if not request_id:
             return self._refusals.refuse(request_id, route.name, 400, "no-request-id")
         if self.in_flight.served > MAX_IN_FLIGHT_REQUESTS:
@@ -150,11 +153,11 @@
         # The body may have taken seconds, and another version be in force.
         selected = self._shared.view.configuration.select_route(host, path)
         if selected is None:
-            return self._refuse_unknown_route(request_id)
+            return self._refusals.refuse_unknown_route(request_id)
         route = selected.route
         caller = authentication.authenticate(selected, headers)
         if isinstance(caller, authentication.Denied):
-            return self._refuse_key(request_id, route, caller.fault)
+            return self._refusals.refuse_key(request_id, route.name, caller.fault)
         time_limit_s = self._compute_time_limit_s(headers, route, received_at)
         if time_limit_s is None:
             return self._refusals.refuse(
@@ -195,28 +198,6 @@
             return None
         return min(limit_s, self.must_end_at - received_at)
 
-    def _refuse_unknown_route(self, request_id: str) -> responses.Response:
-        """Refuse a request that has no route, which may have been added meanwhile."""
-        if self._shared.view.is_current(self._shared.loop.now()):
-            return self._refusals.refuse(request_id, "", 404, "no-route")
-        return self._refusals.refuse(
-            request_id, "", 503, "no-route-yet", NO_CONFIGURATION_RETRY_AFTER_S
-        )
-
-    def _refuse_key(
-        self, request_id: str, route: routes.Route, fault: authentication.KeyFault
-    ) -> responses.Response:
-        refusal = authentication.find_refusal(
-            fault, self._shared.view, self._shared.loop.now()
-        )
-        return self._refusals.refuse(
-            request_id,
-            route.name,
-            refusal.status,
-            refusal.reason,
-            refusal.retry_after_s,
-        )
-
     def _wait_for_configuration(self, now: float) -> routes.Configuration | None:
         """Return the configuration.
 
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -183,7 +183,7 @@
     "gateway_request_duration", "From request to answer.", ("route",), 400
 )
 GATEWAY_REFUSALS = _count(
-    "gateway_refusals", "Requests that were not sent on.", ("reason",), 16
+    "gateway_refusals", "Requests that were not sent on.", ("reason",), 32
 )
 GATEWAY_ATTEMPTS = _count(
     "gateway_attempts", "Attempts on replicas by their end.", ("outcome",), 16
--- a/tests/test_gateway_authentication.py
+++ b/tests/test_gateway_authentication.py
@@ -1,11 +1,23 @@
 """Which workspace a request belongs to, and what of that is sent on."""
 
+import random
+import types
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from corianderrill.gateway import authentication, routes, send_order
+from corianderrill import metrics
+from corianderrill.gateway import (
+    authentication,
+    event_log,
+    in_flight,
+    refusals,
+    routes,
+    send_order,
+)
 from corianderrill.platform import requests
+from tests.utils import fake_stores, virtual_servers
 from tests.utils import gateway_builders as builders
 
 KEY = "k-3f9a"
@@ -131,16 +143,25 @@
     assert accept_delegated(select(), headers) == accept(None)
 
 
-def test_key_is_refused_at_once_only_by_a_host_that_follows_the_store():
+def test_key_is_refused_for_good_only_by_a_host_that_follows_the_store():
     view = builders.build_view()
     view.max_unconfirmed_s = 3.0
     view.confirmed_at = 10.0
+    loop = virtual_servers.VirtualLoop()
+    log = fake_stores.RecordingLog()
+    shared = types.SimpleNamespace(
+        view=view, loop=loop, log=log, meter=metrics.Recorder(), rng=random.Random(1)
+    )
+    refuser = refusals.Refusals(shared, in_flight.InFlightRequests())
     fault = authentication.KeyFault.UNKNOWN
-    current = authentication.find_refusal(fault, view, 13.0)
-    outdated = authentication.find_refusal(fault, view, 13.1)
-    assert (current.status, current.retry_after_s) == (401, None)
+    loop.time = 13.0
+    assert refuser.refuse_key("q-1", "r-1", fault).status == 401
+    loop.time = 13.1
+    outdated = refuser.refuse_key("q-2", "r-1", fault)
     assert outdated.status == 503
-    assert outdated.retry_after_s > 0
+    assert float(dict(outdated.headers)["Retry-After"]) > 0
+    reasons = [record.reason for record in log.list_of(event_log.RequestRefused)]
+    assert reasons == ["unknown-key", "unknown-key-yet"]
 
 
 # What is sent on.
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -100,6 +100,21 @@
     assert send(rig, "/single/x", OTHER_KEY, connection=connection) == 200
 
 
+# Guards against a route of one configuration with the keys of another.
+def test_key_that_is_removed_while_the_body_comes_is_refused(rig):
+    ip, _, port = rig.gateway_address.partition(":")
+    with socket.create_connection((ip, int(port)), timeout=5.0) as caller:
+        head = f"POST /single/x HTTP/1.1\r\nHost: {gateway_rig.HOST}\r\n"
+        fields = f"X-Request-Id: slow\r\nAuthorization: Bearer {KEY}\r\n"
+        caller.sendall(f"{head}{fields}Content-Length: 4\r\n\r\nab".encode())
+        eventlet.sleep(0.2)
+        rig.publish_configuration(version=3, tenants=TENANTS[1:])
+        rig.wait_until(lambda: send(rig, "/single/x") == 401)
+        caller.sendall(b"cd")
+        assert caller.recv(12) == b"HTTP/1.1 401"
+    assert "slow" not in rig.single_server.requests
+
+
 def test_request_in_flight_ends_under_the_configuration_under_which_it_began(rig):
     rig.single_server.delay_s = 1.0
     begun = eventlet.spawn(send, rig, "/single/x", KEY, "begun")
@@ -224,6 +239,30 @@
     assert record["route"] == "single"
 
 
+# Guards against requests that come without their workspace to the queue of a replica.
+def test_hot_workspace_keeps_no_other_one_waiting(rig):
+    goal = {"latency_goal_ms": 8000, "timeout_ms": 8000}
+    rig.publish_configuration(version=3, tenants=TENANTS, single={**goal, **PUBLIC})
+    rig.wait_until(lambda: send(rig, "/single/x", key=None) == 200)
+    rig.publish_configuration(version=4, tenants=TENANTS, single=goal)
+    rig.wait_until(lambda: send(rig, "/single/x", key=None) == 401)
+    rig.single_server.delay_s = 0.3
+    deadline = {"X-Deadline-Ms": "8000"}
+    hot = [
+        eventlet.spawn(send, rig, "/single/x", KEY, f"hot-{n}", headers=deadline)
+        for n in range(16)
+    ]
+    rig.wait_until(lambda: any(map(is_hot, rig.single_server.requests)))
+    assert send(rig, "/single/x", OTHER_KEY, "other", headers=deadline) == 200
+    assert [request.wait() for request in hot] == [200] * 16
+    order = [n for n in rig.single_server.requests if n == "other" or is_hot(n)]
+    assert order.index("other") < 10
+
+
+def is_hot(request_id):
+    return request_id.startswith("hot-")
+
+
 def test_request_that_waited_behind_others_names_them_in_the_log(rig):
     rig.single_server.delay_s = 1.5
     # More than this host has connections to the replica, which all are used up.
