--- a/corianderrill/gateway/attempt_sender.py
+++ b/corianderrill/gateway/attempt_sender.py
@@ -61,7 +61,7 @@
             if attempt.ended_at is None and attempt.sent_at is None:
                 attempt.replica.forget_attempt(attempt)
                 self.release_limit(attempt, self.shared.loop.now())
-                self._cancel(attempt, "withdrawn")
+                self._cancel(attempt, attempts.WITHDRAWN)
 
     def release_limit(self, attempt: attempts.Attempt, now: float) -> None:
         """Give back what an attempt that was not sent used of a rate limit."""
--- a/corianderrill/gateway/authentication.py
+++ b/corianderrill/gateway/authentication.py
@@ -9,12 +9,10 @@
 from collections.abc import Sequence
 
 from corianderrill import names
-from corianderrill.gateway import routes, view
+from corianderrill.gateway import routes, send_order, workspace_ranks
 from corianderrill.platform import requests
 
-STATUS_UNAUTHORIZED = 401
-STATUS_UNAVAILABLE = 503
-NOT_CURRENT_RETRY_AFTER_S = 0.2
+NO_WORKSPACE = names.WorkspaceName("")
 
 
 class KeyFault(enum.Enum):
@@ -26,13 +24,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """The request may be served.
-
-    `workspace` is empty if it belongs to none, and None if the configuration has no
-    workspaces.
-    """
+    """The request may be served; `rank` names its workspace."""
 
-    workspace: names.WorkspaceName | None
+    rank: send_order.Rank
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,18 +36,6 @@
     fault: KeyFault
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyRefusal:
-    """The status and reason with which a request is refused because of its key."""
-
-    status: int
-    reason: str
-    retry_after_s: float | None
-
-
-NO_WORKSPACE = names.WorkspaceName("")
-
-
 def authenticate(
     selected: routes.SelectedRoute, headers: Sequence[tuple[str, str]]
 ) -> Accepted | Denied:
@@ -63,34 +45,23 @@
     """
     configuration = selected.configuration
     if not configuration.has_workspaces:
-        return Accepted(None)
+        return Accepted(send_order.NO_WORKSPACES)
     if selected.route.is_public:
-        return Accepted(NO_WORKSPACE)
+        return Accepted(workspace_ranks.compute_rank(selected, NO_WORKSPACE))
     key = requests.parse_key(headers)
     if key is None:
         return Denied(KeyFault.MISSING)
     workspace = configuration.find_workspace(key)
     if workspace is None:
         return Denied(KeyFault.UNKNOWN)
-    return Accepted(workspace.name)
+    return Accepted(workspace_ranks.compute_rank(selected, workspace.name))
 
 
 def accept_delegated(
     selected: routes.SelectedRoute, headers: Sequence[tuple[str, str]]
 ) -> Accepted:
-    """Return the workspace that the entry host names in a delegated query."""
+    """Return the rank of a delegated query, whose workspace the entry host names."""
     if not selected.configuration.has_workspaces:
-        return Accepted(None)
-    return Accepted(requests.parse_workspace(headers))
-
-
-def find_refusal(fault: KeyFault, current_view: view.View, now: float) -> KeyRefusal:
-    """Return how to refuse a request because of its key.
-
-    The key may have been added in a version that a host out of touch does not have.
-    """
-    if current_view.is_current(now):
-        return KeyRefusal(STATUS_UNAUTHORIZED, fault.value, None)
-    return KeyRefusal(
-        STATUS_UNAVAILABLE, f"{fault.value}-yet", NOT_CURRENT_RETRY_AFTER_S
-    )
+        return Accepted(send_order.NO_WORKSPACES)
+    workspace = requests.parse_workspace(headers)
+    return Accepted(workspace_ranks.compute_rank(selected, workspace))
--- a/tests/test_gateway_authentication.py
+++ b/tests/test_gateway_authentication.py
@@ -1,20 +1,33 @@
 """Which workspace a request belongs to, and what of that is sent on."""
 
+import random
+import types
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from corianderrill.gateway import authentication, routes
+from corianderrill import metrics
+from corianderrill.gateway import (
+    authentication,
+    event_log,
+    in_flight,
+    refusals,
+    routes,
+    send_order,
+)
 from corianderrill.platform import requests
+from tests.utils import fake_stores, virtual_servers
 from tests.utils import gateway_builders as builders
 
 KEY = "k-3f9a"
 KNOWN = [("Authorization", f"Bearer {KEY}")]
+ROUTE_PRIORITY = 4
 WORKSPACE = builders.build_workspace("kami")
 
 
 def select(is_public=False, workspaces_by_key=None):
-    route = builders.build_route(is_public=is_public)
+    route = builders.build_route(is_public=is_public, priority=ROUTE_PRIORITY)
     configuration = builders.build_configuration(
         route, workspaces_by_key=workspaces_by_key
     )
@@ -26,10 +39,14 @@
     return authentication.authenticate(selected, headers)
 
 
+def accept(workspace):
+    priority = ROUTE_PRIORITY if workspace == "" else 0
+    return authentication.Accepted(send_order.Rank(priority, workspace))
+
+
 def build_request(headers, workspace, body=b""):
-    return requests.build_inbound_request(
-        "POST", "/a/x", headers, body, 0.6, 1.0, workspace
-    )
+    rank = send_order.Rank(workspace=workspace)
+    return requests.build_inbound_request("POST", "/a/x", headers, body, 0.6, 1.0, rank)
 
 
 def list_head_lines(inbound):
@@ -48,7 +65,7 @@
 
 
 def test_known_key_tells_the_workspace():
-    assert authenticate(KNOWN) == authentication.Accepted("kami")
+    assert authenticate(KNOWN) == accept("kami")
 
 
 @pytest.mark.parametrize(
@@ -58,7 +75,7 @@
 )
 def test_scheme_is_read_in_any_case(value):
     headers = [("authorization", value)]
-    assert authenticate(headers) == authentication.Accepted("kami")
+    assert authenticate(headers) == accept("kami")
 
 
 @pytest.mark.parametrize(
@@ -96,18 +113,18 @@
     # As the server decodes the bytes of a header.
     value = "Bearer tõde".encode().decode("latin-1")
     accepted = authentication.authenticate(selected, [("Authorization", value)])
-    assert accepted == authentication.Accepted("kami")
+    assert accepted == accept("kami")
 
 
 def test_public_route_needs_no_key_and_belongs_to_no_workspace():
     for headers in ([], KNOWN, [("Authorization", "Bearer wrong")]):
         accepted = authenticate(headers, is_public=True)
-        assert accepted == authentication.Accepted("")
+        assert accepted == accept("")
 
 
 def test_configuration_without_workspaces_asks_for_no_key():
     accepted = authentication.authenticate(select(), KNOWN)
-    assert accepted == authentication.Accepted(None)
+    assert accepted == accept(None)
 
 
 def test_configuration_whose_last_workspace_is_gone_lets_nobody_in():
@@ -119,22 +136,32 @@
 
 def test_aggregator_takes_the_workspace_from_the_entry_host():
     headers = [("X-Tenant", "kami")]
-    accept = authentication.accept_delegated
-    assert accept(select(workspaces_by_key={}), headers).workspace == "kami"
-    assert accept(select(workspaces_by_key={}), []).workspace == ""
-    assert accept(select(), headers).workspace is None
+    selected = select(workspaces_by_key={KEY: WORKSPACE})
+    accept_delegated = authentication.accept_delegated
+    assert accept_delegated(selected, headers) == accept("kami")
+    assert accept_delegated(selected, []) == accept("")
+    assert accept_delegated(select(), headers) == accept(None)
 
 
-def test_key_is_refused_at_once_only_by_a_host_that_follows_the_store():
+def test_key_is_refused_for_good_only_by_a_host_that_follows_the_store():
     view = builders.build_view()
     view.max_unconfirmed_s = 3.0
     view.confirmed_at = 10.0
+    loop = virtual_servers.VirtualLoop()
+    log = fake_stores.RecordingLog()
+    shared = types.SimpleNamespace(
+        view=view, loop=loop, log=log, meter=metrics.Recorder(), rng=random.Random(1)
+    )
+    refuser = refusals.Refusals(shared, in_flight.InFlightRequests())
     fault = authentication.KeyFault.UNKNOWN
-    current = authentication.find_refusal(fault, view, 13.0)
-    outdated = authentication.find_refusal(fault, view, 13.1)
-    assert (current.status, current.retry_after_s) == (401, None)
+    loop.time = 13.0
+    assert refuser.refuse_key("q-1", "r-1", fault).status == 401
+    loop.time = 13.1
+    outdated = refuser.refuse_key("q-2", "r-1", fault)
     assert outdated.status == 503
-    assert outdated.retry_after_s > 0
+    assert float(dict(outdated.headers)["Retry-After"]) > 0
+    reasons = [record.reason for record in log.list_of(event_log.RequestRefused)]
+    assert reasons == ["unknown-key", "unknown-key-yet"]
 
 
 # What is sent on.
@@ -208,7 +235,7 @@
     selected = select(workspaces_by_key={key: WORKSPACE})
     value = f"Bearer {key}".encode("utf-8", "replace").decode("latin-1")
     accepted = authentication.authenticate(selected, [("Authorization", value)])
-    assert accepted == authentication.Accepted("kami") or key != key.strip(" \t")
+    assert accepted == accept("kami") or key != key.strip(" \t")
 
 
 # Fingerprints of the quarantine.
