--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -32,6 +32,9 @@
     zone: names.ZoneName
     slot: Slot
 
+    def __str__(self) -> str:
+        return f"{self.zone}/{self.slot}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Aggregator:
@@ -86,6 +89,14 @@
         """Return the slots that are held."""
         return {key for key, holder in self._holders.items() if holder is not None}
 
+    def find_holder(self, key: SlotKey) -> Aggregator | None:
+        """Return who is known to hold a slot."""
+        return self._holders.get(key)
+
+    def get_revision(self, key: SlotKey) -> int:
+        """Return the store's revision at which the holder of a slot was known."""
+        return self._revisions.get(key, 0)
+
     def list_vacant(self, zone: names.ZoneName) -> list[SlotKey]:
         """Return the slots of a zone that nobody is known to hold."""
         keys = (SlotKey(zone, Slot(slot)) for slot in range(SLOTS_PER_ZONE))
--- /dev/null
+++ b/corianderrill/gateway/quota_client.py
@@ -0,0 +1,432 @@
+"""Asks quota lessors for the requests that no quota lease of this host covers.
+
+One message covers all requests that wait for the same lessor. An answer that comes
+after the time-out of a request is not used for it, and its tokens go back with the next
+message. A lessor that does not answer in time is not asked again for a while, unless
+its late answer shows that it is alive.
+"""
+
+import collections
+import dataclasses
+import enum
+import itertools
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from corianderrill import metrics, names
+from corianderrill.gateway import (
+    aggregators,
+    connections,
+    event_log,
+    loop,
+    quota_ledger,
+    quota_messages,
+    quota_records,
+    send_queue,
+)
+
+# Requests that come while so many messages are on their way wait for the next one.
+MAX_MESSAGES_IN_FLIGHT = 4
+MESSAGE_TIMEOUT_S = 1.0
+BACKOFF_BASE_S = 0.2
+MAX_BACKOFF_S = 2.0
+
+
+class Outcome(enum.Enum):
+    """How a question to a lessor ended; the values are written to the log."""
+
+    GRANTED = "granted"
+    DENIED = "denied"
+    OVERDUE = "overdue"
+    REFUSED = "refused"
+    FAILED = "failed"
+    UNKNOWN = "unknown-workspace"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """The answer for one request, and the term of a token that it got."""
+
+    outcome: Outcome
+    retry_after_s: float = 0.0
+    term: quota_ledger.Term = quota_ledger.Term("")
+
+
+class Pool(Protocol):
+    """The connections to one lessor."""
+
+    def send(
+        self, request: connections.OutboundRequest
+    ) -> connections.Connection | None:
+        """Send a request, or queue it."""
+
+    def cancel_queued(self, request: connections.OutboundRequest) -> None:
+        """Remove a request from the queue."""
+
+
+class Books(Protocol):
+    """What this host keeps of each workspace."""
+
+    def take_used(self, workspace: names.WorkspaceName) -> int:
+        """Return how many requests ran under a lease since the last call."""
+
+    def add_lease(
+        self,
+        workspace: names.WorkspaceName,
+        grant: quota_messages.WorkspaceGrant,
+        sent_at: float,
+    ) -> None:
+        """Keep a lease that an answer brought."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """A request that waits for a lessor until `deadline`.
+
+    The quota allows `requests_per_s`; further denied requests come back at that rate.
+    """
+
+    workspace: names.WorkspaceName
+    requests_per_s: float
+    deadline: float
+    on_verdict: Callable[[Verdict], None]
+    timer: loop.Timer | None = None
+    is_done: bool = False
+
+    def finish(self, verdict: Verdict) -> None:
+        """Report the verdict."""
+        self.is_done = True
+        self.timer.cancel()
+        self.on_verdict(verdict)
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    """What this host knows of one lessor, and what it has to send to it."""
+
+    holder: aggregators.Aggregator
+    term: quota_ledger.Term = quota_ledger.Term("")
+    waiting: list[Waiter] = dataclasses.field(default_factory=list)
+    renewals: set[names.WorkspaceName] = dataclasses.field(default_factory=set)
+    # Tokens of `term` that were not used.
+    returned: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    in_flight: int = 0
+    unavailable_until: float = 0.0
+    lost_at: float | None = None
+    failures: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class QuotaClient:
+    """The questions of one process of a host to the quota lessors."""
+
+    lessee: quota_ledger.Lessee
+    zone: names.ZoneName
+    get_pool: Callable[[names.Address], Pool]
+    wants_slot: Callable[[], bool]
+    books: Books
+    loop: loop.Loop
+    log: event_log.EventLog
+    meter: metrics.Recorder
+    _links: dict[aggregators.SlotKey, _Link] = dataclasses.field(default_factory=dict)
+    _sequence: int = 0
+
+    def next_sequence(self) -> int:
+        """Return the number of the next message."""
+        self._sequence += 1
+        return self._sequence
+
+    def is_available(self, holder: aggregators.Aggregator) -> bool:
+        """Return whether a lessor is not in its pause after a failure."""
+        return self._get_link(holder).unavailable_until <= self.loop.now()
+
+    def _get_link(self, holder: aggregators.Aggregator) -> _Link:
+        link = self._links.get(holder.key)
+        if link is None or link.holder != holder:
+            link = self._links[holder.key] = _Link(holder)
+        return link
+
+    def ask(self, holder: aggregators.Aggregator, waiter: Waiter) -> None:
+        """Ask for one request; the verdict may come before this returns."""
+        link = self._get_link(holder)
+        now = self.loop.now()
+        waiter.timer = self.loop.call_later(
+            max(0.0, waiter.deadline - now), self._expire, link, waiter
+        )
+        link.waiting.append(waiter)
+        self._flush(link)
+
+    def _expire(self, link: _Link, waiter: Waiter) -> None:
+        if waiter.is_done:
+            return
+        if waiter in link.waiting:
+            link.waiting.remove(waiter)
+        self._record_loss(link, Outcome.OVERDUE)
+        waiter.finish(Verdict(Outcome.OVERDUE))
+
+    def renew(
+        self, holder: aggregators.Aggregator, workspaces: Iterable[names.WorkspaceName]
+    ) -> None:
+        """Ask for new leases in the background."""
+        link = self._get_link(holder)
+        link.renewals.update(workspaces)
+        self._flush(link)
+
+    def return_token(
+        self,
+        key: aggregators.SlotKey,
+        workspace: names.WorkspaceName,
+        term: quota_ledger.Term,
+    ) -> None:
+        """Send a token back with the next message, if its ledger is still in use."""
+        link = self._links.get(key)
+        if link is not None and link.term == term:
+            link.returned[workspace] += 1
+
+    def send_returned(self) -> None:
+        """Send the tokens that go back."""
+        for link in list(self._links.values()):
+            if link.returned and link.unavailable_until <= self.loop.now():
+                link.renewals.update(link.returned)
+                self._flush(link)
+
+    def _flush(self, link: _Link) -> None:
+        while (link.waiting or link.renewals) and (
+            link.in_flight < MAX_MESSAGES_IN_FLIGHT
+        ):
+            exchange = Exchange(self, link, self._take_asks(link))
+            link.in_flight += 1
+            exchange.start()
+
+    def _take_asks(self, link: _Link) -> dict[names.WorkspaceName, list[Waiter]]:
+        """Return the requests to ask for, by workspace, as many as a message holds."""
+        asks: dict[names.WorkspaceName, list[Waiter]] = {}
+        left = []
+        for waiter in link.waiting:
+            if waiter.workspace in asks or len(asks) < quota_messages.MAX_ASKS:
+                asks.setdefault(waiter.workspace, []).append(waiter)
+            else:
+                left.append(waiter)
+        link.waiting = left
+        for workspace in sorted(link.renewals):
+            if workspace in asks or len(asks) < quota_messages.MAX_ASKS:
+                asks.setdefault(workspace, [])
+                link.renewals.discard(workspace)
+        return asks
+
+    def build_message(
+        self, link: _Link, asks: dict[names.WorkspaceName, list[Waiter]]
+    ) -> quota_messages.Message:
+        """Return the message for these requests, as it is sent now."""
+        return quota_messages.Message(
+            host=self.lessee.host,
+            process=self.lessee.process,
+            sequence=self.next_sequence(),
+            term=link.term,
+            zone=self.zone,
+            wants_slot=self.wants_slot(),
+            asks=[
+                quota_messages.WorkspaceAsk(
+                    workspace,
+                    sum(not waiter.is_done for waiter in waiters),
+                    self.books.take_used(workspace),
+                    link.returned.pop(workspace, 0),
+                )
+                for workspace, waiters in asks.items()
+            ],
+        )
+
+    def handle_end(self, exchange: "Exchange", outcome: Outcome) -> None:
+        """Distribute the answer to a message, or report that there is none."""
+        link = exchange.link
+        link.in_flight -= 1
+        self.meter.count(metrics.GATEWAY_QUOTA_MESSAGES, outcome.value)
+        if exchange.answer is None:
+            self._record_loss(link, outcome)
+            for waiter in itertools.chain.from_iterable(exchange.asks.values()):
+                if not waiter.is_done:
+                    waiter.finish(Verdict(outcome))
+        else:
+            self._record_answer(link)
+            self._distribute(exchange)
+        self._flush(link)
+
+    def _distribute(self, exchange: "Exchange") -> None:
+        link, answer = exchange.link, exchange.answer
+        term = quota_ledger.Term(answer.term)
+        if link.term != term:
+            link.term = term
+            link.returned.clear()
+        now = self.loop.now()
+        for (workspace, waiters), grant in zip(
+            exchange.asks.items(), answer.grants, strict=True
+        ):
+            if grant.units and now - exchange.sent_at < MESSAGE_TIMEOUT_S:
+                self.books.add_lease(workspace, grant, exchange.sent_at)
+            unused = self._finish_waiters(waiters, grant, term, now)
+            if unused:
+                link.returned[workspace] += unused
+
+    def _finish_waiters(
+        self,
+        waiters: list[Waiter],
+        grant: quota_messages.WorkspaceGrant,
+        term: quota_ledger.Term,
+        now: float,
+    ) -> int:
+        """Report the grant to the requests that still wait; return what is left."""
+        left = max(grant.granted, 0)
+        denied = 0
+        for waiter in waiters:
+            if waiter.is_done:
+                continue
+            if now > waiter.deadline:
+                waiter.finish(Verdict(Outcome.OVERDUE))
+            elif grant.granted == quota_messages.UNKNOWN:
+                waiter.finish(Verdict(Outcome.UNKNOWN))
+            elif left:
+                left -= 1
+                waiter.finish(Verdict(Outcome.GRANTED, term=term))
+            else:
+                retry_after_s = grant.retry_after_s + denied / waiter.requests_per_s
+                denied += 1
+                waiter.finish(Verdict(Outcome.DENIED, retry_after_s))
+        return left
+
+    def _record_answer(self, link: _Link) -> None:
+        if link.lost_at is not None:
+            away_s = round(self.loop.now() - link.lost_at, 3)
+            self.log.record(
+                quota_records.QuotaLessorReturned(
+                    link.holder.host, str(link.holder.address), away_s
+                )
+            )
+        link.lost_at = None
+        link.failures = 0
+        link.unavailable_until = 0.0
+
+    def _record_loss(self, link: _Link, outcome: Outcome) -> None:
+        now = self.loop.now()
+        if now < link.unavailable_until:
+            return
+        pause_s = min(BACKOFF_BASE_S * 2 ** min(link.failures, 6), MAX_BACKOFF_S)
+        link.failures += 1
+        link.unavailable_until = now + pause_s
+        if link.lost_at is None:
+            link.lost_at = now
+            self.log.record(
+                quota_records.QuotaLessorLost(
+                    link.holder.host, str(link.holder.address), outcome.value, pause_s
+                )
+            )
+
+    def retain(self, keys: set[aggregators.SlotKey]) -> None:
+        """Forget the lessors of slots that nobody holds any more."""
+        for key in self._links.keys() - keys:
+            if not self._links[key].in_flight:
+                del self._links[key]
+
+
+class Exchange:
+    """One message to a lessor, with its answer."""
+
+    idempotent = True
+
+    def __init__(
+        self,
+        client: QuotaClient,
+        link: _Link,
+        asks: dict[names.WorkspaceName, list[Waiter]],
+    ) -> None:
+        self._client = client
+        self.link = link
+        self.asks = asks
+        self.sent_at = 0.0
+        self.answer: quota_messages.Answer | None = None
+        self._message: quota_messages.Message | None = None
+        self._is_done = False
+        self._connection: connections.Connection | None = None
+        self._pool: Pool | None = None
+        self._timer: loop.Timer | None = None
+
+    def start(self) -> None:
+        """Send the message; its end may come before this returns."""
+        self._timer = self._client.loop.call_later(
+            MESSAGE_TIMEOUT_S, self._handle_timeout
+        )
+        self._pool = self._client.get_pool(self.link.holder.address)
+        self._pool.send(self)
+
+    def _handle_timeout(self) -> None:
+        if self._is_done:
+            return
+        if self._connection is not None:
+            self._connection.abort(self)
+        else:
+            self._pool.cancel_queued(self)
+        self._end(Outcome.OVERDUE)
+
+    def _end(self, outcome: Outcome) -> None:
+        self._is_done = True
+        self._timer.cancel()
+        self._client.handle_end(self, outcome)
+
+    # Callbacks of the connection.
+
+    def get_urgency(self, now: float) -> send_queue.Urgency:
+        """Return a rank before all queries for the same host."""
+        return send_queue.Urgency(False, now)
+
+    def render(self) -> bytes:
+        """Return the bytes of the message. A lease counts from now."""
+        self.sent_at = self._client.loop.now()
+        self._message = self._client.build_message(self.link, self.asks)
+        return quota_messages.render_message(self._message)
+
+    def on_send_start(self) -> None:
+        """Do nothing: `render` has set the time of sending."""
+
+    def may_send(self) -> bool:
+        """Return True; a host that is not the lessor refuses."""
+        return True
+
+    def may_use(self, connection: connections.Connection) -> bool:
+        """Return True: each connection may carry any message."""
+        return True
+
+    def attach(self, connection: connections.Connection) -> None:
+        """Keep the connection, so that it can be closed."""
+        self._connection = connection
+
+    def owns_reply(self, headers: list[tuple[bytes, bytes]]) -> bool:
+        """Return True: a connection carries one message at a time."""
+        return True
+
+    def on_interim_reply(self) -> None:
+        """Wait on."""
+
+    def on_result(
+        self, result: connections.RawReply | connections.FailedExchange
+    ) -> None:
+        """Process the answer of the lessor, or the reason why there is none."""
+        if not self._is_done:
+            self._end(self._evaluate(result))
+
+    def _evaluate(
+        self, result: connections.RawReply | connections.FailedExchange
+    ) -> Outcome:
+        match result:
+            case connections.FailedExchange():
+                return Outcome.FAILED
+            case connections.RawReply(status=503):
+                return Outcome.REFUSED
+        try:
+            self.answer = quota_messages.parse_answer(result, self._message)
+        except quota_messages.MessageError as error:
+            self._client.log.record(
+                quota_records.QuotaMessageRefused(self.link.holder.host, str(error))
+            )
+            return Outcome.FAILED
+        return Outcome.GRANTED
--- /dev/null
+++ b/corianderrill/gateway/quotas.py
@@ -0,0 +1,475 @@
+"""Admits the requests of workspaces that have a quota over all hosts.
+
+A request is admitted under a quota lease of this host if that has room. Else the quota
+lessor of the workspace decides: this host itself without a message, or another one. A
+request is refused if neither allows it.
+"""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Callable, Iterable, Sequence
+
+import eventlet
+from eventlet import event
+
+from corianderrill import metrics, names
+from corianderrill.gateway import (
+    aggregators,
+    event_log,
+    loop,
+    quota_allowances,
+    quota_client,
+    quota_ledger,
+    quota_lessor,
+    quota_messages,
+    quota_placement,
+    quota_records,
+    quota_terms,
+    routes,
+    view,
+)
+from corianderrill.platform import settings
+
+# How long a request waits for the lessor, as a share of its goal.
+ANSWER_GOAL_SHARE = 0.25
+MIN_ANSWER_TIME_S = 0.015
+MAX_ANSWER_TIME_S = 0.1
+# A request that no lessor decided may come back after this time.
+UNDECIDED_RETRY_AFTER_S = 0.25
+TICK_INTERVAL_S = 0.25
+CLEANUP_INTERVAL_S = 20.0
+# Without quota lessors, each host uses this part of an equal share of the quota. The
+# rest is for hosts that are added.
+EQUAL_SHARE_FACTOR = 0.9
+
+
+class Decision(enum.Enum):
+    """How a request was decided; the values are reasons in logs and metrics."""
+
+    LEASE = "lease"
+    TOKEN = "token"
+    OVER_QUOTA = "over-quota"
+    LESSOR_UNKNOWN = "quota-lessor-unknown"
+    LESSOR_UNREACHABLE = "quota-lessor-unreachable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that may run, and what it takes of the quota of its workspace.
+
+    `term` is the ledger of its token, empty if it was admitted under a lease.
+    """
+
+    workspace: names.WorkspaceName
+    admitted_at: float
+    key: aggregators.SlotKey | None = None
+    term: quota_ledger.Term = quota_ledger.Term("")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request may not run, and when it may return."""
+
+    status: int
+    decision: Decision
+    retry_after_s: float
+
+
+Verdict = Admission | Refusal
+
+
+class Unlimited:
+    """Admits all requests, where there are no quotas."""
+
+    def admit(self, *_: object) -> None:
+        """Return that the request takes nothing of a quota."""
+
+    def give_back(self, _: Admission | None) -> None:
+        """Do nothing."""
+
+    def update_gauges(self, _: float) -> None:
+        """Do nothing."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Request:
+    """A request that is being decided."""
+
+    id: names.RequestId
+    workspace: names.WorkspaceName
+    terms: quota_terms.QuotaTerms
+    key: aggregators.SlotKey
+    began_at: float
+    on_verdict: Callable[[Verdict], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Quotas:
+    """The quotas as one host applies them.
+
+    `can_hold_slots` tells whether other hosts can reach this one. `host_count` is the
+    number of hosts of the site. `started_at` is when the process started.
+    """
+
+    lessee: quota_ledger.Lessee
+    view: view.View
+    directory: aggregators.AggregatorDirectory
+    zones: Iterable[names.ZoneName]
+    roles: Sequence[quota_lessor.SlotRole]
+    get_pool: Callable[[names.Address], quota_client.Pool]
+    wants_slot: Callable[[], bool]
+    zone: names.ZoneName
+    can_hold_slots: bool
+    loop: loop.Loop
+    log: event_log.EventLog
+    meter: metrics.Recorder
+    started_at: float
+    bounds: settings.QuotaBounds | None = None
+    host_count: float = math.inf
+    allowances: quota_allowances.QuotaAllowances = dataclasses.field(
+        default_factory=quota_allowances.QuotaAllowances
+    )
+    placement: quota_placement.QuotaPlacement = dataclasses.field(init=False)
+    client: quota_client.QuotaClient = dataclasses.field(init=False)
+    lessor: quota_lessor.QuotaLessor = dataclasses.field(init=False)
+    _configuration: routes.Configuration | None = None
+    _workspaces: dict[names.WorkspaceName, routes.Workspace] = dataclasses.field(
+        default_factory=dict
+    )
+    _has_seen_lessor: bool = False
+    _cleaned_at: float = -math.inf
+
+    def __post_init__(self) -> None:
+        self.placement = quota_placement.QuotaPlacement(self.zones)
+        self.client = quota_client.QuotaClient(
+            self.lessee,
+            self.zone,
+            self.get_pool,
+            self.wants_slot,
+            self,
+            self.loop,
+            self.log,
+            self.meter,
+        )
+        self.lessor = quota_lessor.QuotaLessor(
+            self.roles,
+            self.placement,
+            self.find_terms,
+            self.log,
+            self.meter,
+            self.loop.now,
+        )
+
+    def apply_bounds(
+        self, bounds: settings.QuotaBounds | None, host_count: float
+    ) -> None:
+        """Apply new bounds; quotas end if there are none."""
+        self.bounds = bounds
+        self.host_count = host_count
+
+    # The configuration.
+
+    def is_needed(self) -> bool:
+        """Return whether a workspace has a quota."""
+        if self.bounds is None:
+            return False
+        self._read_configuration()
+        return any(w.requests_per_s is not None for w in self._workspaces.values())
+
+    def _read_configuration(self) -> None:
+        configuration = self.view.configuration
+        if configuration is self._configuration:
+            return
+        self._configuration = configuration
+        self._workspaces = {
+            workspace.name: workspace
+            for workspace in configuration.workspaces_by_key.values()
+        }
+        workspaces = set(self._workspaces)
+        self.placement.retain(workspaces)
+        self.lessor.retain(workspaces)
+
+    def find_terms(
+        self, workspace: names.WorkspaceName
+    ) -> quota_terms.QuotaTerms | None:
+        """Return the quota of a workspace by the configuration in force.
+
+        Return None if it has none. Raise KeyError if the workspace is unknown.
+        """
+        self._read_configuration()
+        found = self._workspaces[workspace]
+        return (
+            None if self.bounds is None else quota_terms.build_terms(found, self.bounds)
+        )
+
+    # Requests.
+
+    def admit(
+        self,
+        workspace: routes.Workspace | None,
+        route: routes.Route,
+        request_id: names.RequestId,
+        now: float,
+    ) -> Admission | Refusal | None:
+        """Decide on a request; wait for the quota lessor if it has to be asked.
+
+        Return None if there is no quota.
+        """
+        if workspace is None or self.bounds is None:
+            return None
+        terms = quota_terms.build_terms(workspace, self.bounds)
+        if terms is None:
+            return None
+        decided = event.Event()
+        self.decide(workspace.name, terms, route.goal_s, request_id, now, decided.send)
+        return decided.wait()
+
+    def decide(
+        self,
+        workspace: names.WorkspaceName,
+        terms: quota_terms.QuotaTerms,
+        goal_s: float,
+        request_id: names.RequestId,
+        now: float,
+        on_verdict: Callable[[Verdict], None],
+    ) -> None:
+        """Decide on a request; `on_verdict` may be called before this returns."""
+        key = self.placement.find_slot(workspace)
+        request = _Request(request_id, workspace, terms, key, now, on_verdict)
+        if self._try_lease(request, now):
+            return
+        ledger = self.lessor.find_ledger(key, now)
+        if ledger is not None:
+            self._decide_alone(request, ledger, now)
+            return
+        holder = self.directory.find_holder(key)
+        if holder is None or holder.host == self.lessee.host:
+            self._refuse(request, Decision.LESSOR_UNKNOWN, UNDECIDED_RETRY_AFTER_S)
+        elif not self.client.is_available(holder):
+            self._refuse(request, Decision.LESSOR_UNREACHABLE, UNDECIDED_RETRY_AFTER_S)
+        else:
+            self._ask(request, holder, goal_s, now)
+
+    def _try_lease(self, request: _Request, now: float) -> bool:
+        """Admit a request under a lease, if there is one with room."""
+        allowance = self.allowances.get(request.workspace)
+        least_units = self._compute_equal_share(request.terms, now)
+        if not allowance.try_admit(request.terms, now, least_units):
+            return False
+        self._admit(request, Decision.LEASE, Admission(request.workspace, now))
+        return True
+
+    def _compute_equal_share(self, terms: quota_terms.QuotaTerms, now: float) -> int:
+        """Return what the host may use where no host can be a quota lessor.
+
+        A process that has just started may have used it before a restart.
+        """
+        if self.can_hold_slots or self._has_seen_lessor:
+            return 0
+        if self.directory.list_keys():
+            self._has_seen_lessor = True
+            return 0
+        if now - self.started_at < terms.window_s:
+            return 0
+        total = terms.requests_per_s * terms.window_s + terms.burst + terms.excess
+        return math.floor(EQUAL_SHARE_FACTOR * total / self.host_count)
+
+    def _decide_alone(
+        self, request: _Request, ledger: quota_ledger.QuotaLedger, now: float
+    ) -> None:
+        """Decide as the quota lessor of the workspace."""
+        grant = self._ask_ledger(request, ledger, 1, now)
+        if grant.granted:
+            admission = Admission(request.workspace, now, request.key, ledger.term)
+            self._admit(request, Decision.TOKEN, admission)
+        else:
+            self._refuse(request, Decision.OVER_QUOTA, grant.retry_after_s)
+
+    def _ask_ledger(
+        self,
+        request: _Request,
+        ledger: quota_ledger.QuotaLedger,
+        wanted: int,
+        now: float,
+    ) -> quota_ledger.Grant:
+        ask = quota_ledger.Ask(wanted, self.take_used(request.workspace))
+        grant = self.lessor.decide(
+            ledger,
+            request.workspace,
+            request.terms,
+            self.lessee,
+            self.client.next_sequence(),
+            ask,
+            now,
+        )
+        if grant.units:
+            self.allowances.get(request.workspace).add(grant.units, grant.total, now)
+        return grant
+
+    def _ask(
+        self,
+        request: _Request,
+        holder: aggregators.Aggregator,
+        goal_s: float,
+        now: float,
+    ) -> None:
+        answer_time_s = ANSWER_GOAL_SHARE * goal_s
+        answer_time_s = min(max(answer_time_s, MIN_ANSWER_TIME_S), MAX_ANSWER_TIME_S)
+        waiter = quota_client.Waiter(
+            request.workspace,
+            request.terms.requests_per_s,
+            now + answer_time_s,
+            lambda verdict: self._finish(request, verdict),
+        )
+        self.client.ask(holder, waiter)
+
+    def _finish(self, request: _Request, verdict: quota_client.Verdict) -> None:
+        """Decide on a request by the answer of the lessor, or without one."""
+        now = self.loop.now()
+        match verdict.outcome:
+            case quota_client.Outcome.GRANTED:
+                admission = Admission(request.workspace, now, request.key, verdict.term)
+                self._admit(request, Decision.TOKEN, admission)
+            case quota_client.Outcome.DENIED:
+                self._refuse(request, Decision.OVER_QUOTA, verdict.retry_after_s)
+            case _ if self._try_lease(request, now):
+                return
+            case quota_client.Outcome.REFUSED | quota_client.Outcome.UNKNOWN:
+                self._refuse(request, Decision.LESSOR_UNKNOWN, UNDECIDED_RETRY_AFTER_S)
+            case _:
+                self._refuse(
+                    request, Decision.LESSOR_UNREACHABLE, UNDECIDED_RETRY_AFTER_S
+                )
+
+    def _admit(
+        self, request: _Request, decision: Decision, admission: Admission
+    ) -> None:
+        self.meter.count(metrics.GATEWAY_QUOTA_DECISIONS, decision.value)
+        request.on_verdict(admission)
+
+    def _refuse(
+        self, request: _Request, decision: Decision, retry_after_s: float
+    ) -> None:
+        self.meter.count(metrics.GATEWAY_QUOTA_DECISIONS, decision.value)
+        now = self.loop.now()
+        holder = self.directory.find_holder(request.key)
+        allowance = self.allowances.get(request.workspace)
+        self.log.record(
+            quota_records.QuotaRefused(
+                request_id=request.id,
+                workspace=request.workspace,
+                cause=decision.value,
+                slot=str(request.key),
+                lessor="" if holder is None else holder.host,
+                units=allowance.count_units(request.terms, now),
+                waited_ms=round(1000 * (now - request.began_at), 1),
+                retry_after_s=round(retry_after_s, 3),
+            )
+        )
+        status = 429 if decision is Decision.OVER_QUOTA else 503
+        request.on_verdict(Refusal(status, decision, retry_after_s))
+
+    def give_back(self, admission: Admission | None) -> None:
+        """Return what a request took that was certainly not sent to any replica."""
+        if admission is None:
+            return
+        if admission.key is None:
+            self.allowances.get(admission.workspace).give_back(admission.admitted_at)
+            return
+        now = self.loop.now()
+        ledger = self.lessor.find_ledger(admission.key, now)
+        if ledger is not None and ledger.term == admission.term:
+            ledger.give_back(admission.workspace, self.lessee)
+        else:
+            self.client.return_token(admission.key, admission.workspace, admission.term)
+
+    # The books of this host, for the client.
+
+    def take_used(self, workspace: names.WorkspaceName) -> int:
+        """Return how many requests ran under a lease since the last call."""
+        allowance = self.allowances.get(workspace)
+        used, allowance.used = allowance.used, 0
+        return min(used, quota_messages.MAX_COUNT)
+
+    def add_lease(
+        self,
+        workspace: names.WorkspaceName,
+        grant: quota_messages.WorkspaceGrant,
+        sent_at: float,
+    ) -> None:
+        """Keep a lease that an answer brought."""
+        self.allowances.get(workspace).add(grant.units, grant.total, sent_at)
+
+    # In the background.
+
+    def run(self) -> None:
+        """Renew leases and return tokens; never returns."""
+        while True:
+            eventlet.sleep(TICK_INTERVAL_S)
+            self.tick(self.loop.now())
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        if not self.is_needed():
+            return
+        for workspace in self.allowances.list_due(now):
+            self._renew(workspace, now)
+        self.client.send_returned()
+        self.lessor.drop_ended(now)
+        if now - self._cleaned_at >= CLEANUP_INTERVAL_S:
+            self._cleaned_at = now
+            self._drop_idle(now)
+
+    def _renew(self, workspace: names.WorkspaceName, now: float) -> None:
+        terms = self._find_terms_if_known(workspace)
+        if terms is None:
+            return
+        key = self.placement.find_slot(workspace)
+        ledger = self.lessor.find_ledger(key, now)
+        holder = self.directory.find_holder(key)
+        if ledger is not None:
+            request = _Request("", workspace, terms, key, now, lambda _: None)
+            self._ask_ledger(request, ledger, 0, now)
+        elif (
+            holder is not None
+            and holder.host != self.lessee.host
+            and self.client.is_available(holder)
+        ):
+            self.client.renew(holder, [workspace])
+
+    def _find_terms_if_known(
+        self, workspace: names.WorkspaceName
+    ) -> quota_terms.QuotaTerms | None:
+        try:
+            return self.find_terms(workspace)
+        except KeyError:
+            return None
+
+    def _drop_idle(self, now: float) -> None:
+        for workspace, allowance in self.allowances.items():
+            terms = self._find_terms_if_known(workspace)
+            if terms is None or allowance.is_idle(terms, now):
+                self.allowances.discard(workspace)
+        self.client.retain(self.directory.list_keys())
+
+    def update_gauges(self, now: float) -> None:
+        """Set the gauges of leases and tokens."""
+        if not self.is_needed():
+            return
+        units = {}
+        for workspace, allowance in self.allowances.items():
+            terms = self._find_terms_if_known(workspace)
+            if terms is not None:
+                units[(workspace,)] = allowance.count_units(terms, now)
+        self.meter.replace(metrics.GATEWAY_QUOTA_UNITS, units)
+        tokens = {}
+        leased = 0
+        for workspace, account in self.lessor.list_accounts(now):
+            terms = self._find_terms_if_known(workspace)
+            if terms is not None:
+                account.refill(terms, now)
+                tokens[(workspace,)] = round(account.tokens, 2)
+                leased += account.count_leased(terms, now)
+        self.meter.replace(metrics.GATEWAY_QUOTA_TOKENS_LEFT, tokens)
+        self.meter.set(metrics.GATEWAY_QUOTA_LEASED, leased)
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -215,6 +215,37 @@
 GATEWAY_LIMITED_SUB_REQUESTS = _count(
     "gateway_limited_sub_requests", "Sub-requests left out because of rate limits."
 )
+GATEWAY_QUOTA_DECISIONS = _count(
+    "gateway_quota_decisions",
+    "Requests of workspaces with a quota, by what admitted or refused them.",
+    ("decision",),
+    8,
+)
+GATEWAY_QUOTA_MESSAGES = _count(
+    "gateway_quota_messages", "Messages to quota lessors by their end.", ("outcome",), 8
+)
+GATEWAY_QUOTA_TOKENS = _count(
+    "gateway_quota_tokens",
+    "Tokens that this host granted or denied as the quota lessor.",
+    ("outcome",),
+    2,
+)
+GATEWAY_QUOTA_TOKENS_LEFT = _gauge(
+    "gateway_quota_tokens_left",
+    "Tokens in the bucket of a workspace whose quota lessor this host is.",
+    ("workspace",),
+    200,
+)
+GATEWAY_QUOTA_UNITS = _gauge(
+    "gateway_quota_units",
+    "Requests a window that the quota leases of this host allow.",
+    ("workspace",),
+    200,
+)
+GATEWAY_QUOTA_LEASED = _gauge(
+    "gateway_quota_leased",
+    "Requests a window that the leases granted by this host allow.",
+)
 GATEWAY_IN_FLIGHT = _gauge("gateway_in_flight", "Requests without an answer.")
 GATEWAY_CONNECTIONS = _gauge(
     "gateway_connections_opened", "Connections opened to addresses in use."
