Apply quotas over all hosts in the process

wsgi_app admits each request of a workspace with a limit through one call. The holder of an aggregator slot answers other hosts as the quota lessor, also on small sites, whose slot holders take no queries. A process that starts takes over the slot of its host at once, and a slot whose zone has no host left goes to a host of another zone. A request that was certainly not sent gives back what it took.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -15,6 +15,8 @@
     delegation_messages,
     event_log,
     in_flight,
+    quota_app,
+    quota_messages,
     replica_notices,
     request_bodies,
     responses,
@@ -35,7 +37,7 @@
 # How long an aggregator tells other hosts that a replica leaves.
 LEAVING_NEWS_S = 30.0
 
-STORE_PATHS = (store.RANGE_PATH, store.WATCH_PATH)
+OTHER_PATHS = (store.RANGE_PATH, store.WATCH_PATH, quota_messages.PATH)
 
 _REASON_PHRASES = {200: "OK", 502: "Bad Gateway", 503: "Service Unavailable"}
 
@@ -69,7 +71,7 @@
         self, environ: dict[str, object], start_response: responses.StartResponse
     ) -> Iterable[bytes]:
         """Serve one delegated query or call to the store (the WSGI entry point)."""
-        is_query = environ["RAW_PATH_INFO"] not in STORE_PATHS
+        is_query = environ["RAW_PATH_INFO"] not in OTHER_PATHS
         response = (
             self._serve_counted(environ) if is_query else self._relay_call(environ)
         )
@@ -97,6 +99,8 @@
             )
 
     def _relay_call(self, environ: dict[str, object]) -> responses.Response:
+        if environ["RAW_PATH_INFO"] == quota_messages.PATH:
+            return quota_app.respond(self._shared, environ)
         body = self._relay.answer(
             environ["RAW_PATH_INFO"], environ.get("QUERY_STRING") or ""
         )
--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -40,13 +40,15 @@
 class Aggregator:
     """A host that holds an aggregator slot, and its address for delegated queries.
 
-    `capacity_cores` is the processor time that it has, in cores.
+    `capacity_cores` is the processor time that it has, in cores. `era` is that of the
+    store when the slot was taken.
     """
 
     key: SlotKey
     host: names.HostName
     address: names.Address
     capacity_cores: float = 0.0
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +65,8 @@
     """
 
     own_host: names.HostName
+    # Without them, the holders of slots take no queries and relay no store calls.
+    has_aggregators: bool = True
     _holders: dict[SlotKey, Aggregator | None] = dataclasses.field(default_factory=dict)
     _revisions: dict[SlotKey, int] = dataclasses.field(default_factory=dict)
     _health: dict[names.Address, _Health] = dataclasses.field(default_factory=dict)
@@ -97,14 +101,23 @@
         """Return the store's revision at which the holder of a slot was known."""
         return self._revisions.get(key, 0)
 
+    def list_own(self) -> list[Aggregator]:
+        """Return the slots that this host is known to hold, in order of their names."""
+        own = [
+            holder
+            for holder in self._holders.values()
+            if holder is not None and holder.host == self.own_host
+        ]
+        return sorted(own, key=lambda holder: str(holder.key))
+
     def list_vacant(self, zone: names.ZoneName) -> list[SlotKey]:
         """Return the slots of a zone that nobody is known to hold."""
         keys = (SlotKey(zone, Slot(slot)) for slot in range(SLOTS_PER_ZONE))
         return [key for key in keys if self._holders.get(key) is None]
 
     def is_aggregator(self) -> bool:
-        """Return whether this host is known to hold a slot."""
-        return any(
+        """Return whether this host is known to hold a slot, and takes queries."""
+        return self.has_aggregators and any(
             holder is not None and holder.host == self.own_host
             for holder in self._holders.values()
         )
@@ -145,7 +158,8 @@
         return [
             holder
             for key, holder in self._holders.items()
-            if key.zone == zone
+            if self.has_aggregators
+            and key.zone == zone
             and holder is not None
             and holder.host != self.own_host
             and health_by_address.get(holder.address, _Health()).unavailable_until
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -280,7 +280,7 @@
     """Return what this host delegates of a query on a route."""
     if not isinstance(route.target, routes.ScatterGather):
         return Mode.NOTHING
-    if not shared.aggregators.list_keys():
+    if not (shared.aggregators.has_aggregators and shared.aggregators.list_keys()):
         return Mode.NOTHING
     if shared.aggregators.is_aggregator():
         return Mode.OTHER_ZONES
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -1,5 +1,6 @@
 """One gateway process: its wiring, its signal handlers and its graceful shutdown."""
 
+import dataclasses
 import gc
 import http
 import os
@@ -27,6 +28,8 @@
     pools,
     quarantine,
     query_rate,
+    quota_ledger,
+    quotas,
     rate_limits,
     replica_notices,
     request_rates,
@@ -154,6 +157,14 @@
             rng,
             self._shared.retry_budget,
         )
+        self._orphan_role = dataclasses.replace(
+            self._aggregator_role,
+            scope=aggregator_role.Scope.ORPHANED,
+            zones=tuple(host_settings.zones),
+        )
+        self._shared.quotas = self._build_quotas(host_settings)
+        for role in (self._aggregator_role, self._orphan_role):
+            role.has_quotas = self._shared.quotas.is_needed
         self._demand_reporter = demand_reporter.DemandReporter(
             self._store_client,
             self._view,
@@ -167,6 +178,24 @@
         self._stopped = event.Event()
         self._is_shutting_down = False
 
+    def _build_quotas(self, host_settings: settings.HostSettings) -> quotas.Quotas:
+        incarnation = names.Incarnation(f"{self._shared.rng.getrandbits(64):x}")
+        return quotas.Quotas(
+            quota_ledger.Lessee(host_settings.host, incarnation),
+            self._view,
+            self._shared.aggregators,
+            tuple(host_settings.zones) or (host_settings.zone,),
+            (self._aggregator_role, self._orphan_role),
+            self._shared.get_aggregator_pool,
+            self._aggregator_role.wants_slot,
+            host_settings.zone,
+            host_settings.aggregation_address is not None,
+            self._shared.loop,
+            self.log,
+            self._shared.meter,
+            loop.read_clock(),
+        )
+
     def _apply_bounds(self, bounds: settings.Bounds) -> None:
         host_count = retry_budget.estimate_host_count(bounds.retry_slack)
         has_aggregators = host_count >= aggregator_role.MIN_HOSTS
@@ -179,6 +208,9 @@
         self._pools.host_count = host_count
         self._demand.host_count = host_count
         self._aggregator_role.host_count = host_count
+        self._orphan_role.host_count = host_count
+        self._shared.aggregators.has_aggregators = has_aggregators
+        self._shared.quotas.apply_bounds(bounds.quota, host_count)
         max_apply_delay_s = min(bounds.config_apply_s, bounds.drain_s)
         self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
         self._store_probe.set_interval(max_apply_delay_s)
@@ -209,6 +241,7 @@
         start("store-probe", self._store_probe.run)
         self._demand_task = start("demand", self._demand_reporter.run)
         start("crash-notes", self._crash_notes.run)
+        start("quotas", self._shared.quotas.run)
         start("expiry", self._drop_expired_replicas_and_connections)
         start("log", self._flush_log)
         start("settings", self._check_settings)
@@ -243,6 +276,7 @@
             "aggregation", lambda: self._serve(listener, self._aggregator_app)
         )
         self._supervisor.start("aggregator-role", self._aggregator_role.run)
+        self._supervisor.start("orphan-role", self._orphan_role.run)
 
     def _serve_callers(self) -> None:
         self._serve(self._listener, self._app)
@@ -331,6 +365,7 @@
         self._aggregator_app.is_shutting_down = True
         self._store_relay.close()
         eventlet.spawn(self._aggregator_role.retire)
+        eventlet.spawn(self._orphan_role.retire)
         eventlet.sleep(SHUTDOWN_ANNOUNCE_S)
         self._demand_task.kill()
         eventlet.spawn(self._demand_reporter.withdraw)
--- a/corianderrill/gateway/quotas.py
+++ b/corianderrill/gateway/quotas.py
@@ -88,6 +88,9 @@
     def give_back(self, _: Admission | None) -> None:
         """Do nothing."""
 
+    def answer(self, _: quota_messages.Message) -> None:
+        """Return that this host is no quota lessor."""
+
     def update_gauges(self, _: float) -> None:
         """Do nothing."""
 
@@ -137,6 +140,7 @@
     _workspaces: dict[names.WorkspaceName, routes.Workspace] = dataclasses.field(
         default_factory=dict
     )
+    _is_needed: bool = False
     _has_seen_lessor: bool = False
     _cleaned_at: float = -math.inf
 
@@ -175,7 +179,7 @@
         if self.bounds is None:
             return False
         self._read_configuration()
-        return any(w.requests_per_s is not None for w in self._workspaces.values())
+        return self._is_needed
 
     def _read_configuration(self) -> None:
         configuration = self.view.configuration
@@ -186,6 +190,10 @@
             workspace.name: workspace
             for workspace in configuration.workspaces_by_key.values()
         }
+        self._is_needed = any(
+            workspace.requests_per_s is not None
+            for workspace in self._workspaces.values()
+        )
         workspaces = set(self._workspaces)
         self.placement.retain(workspaces)
         self.lessor.retain(workspaces)
@@ -207,22 +215,23 @@
 
     def admit(
         self,
-        workspace: routes.Workspace | None,
+        workspace: names.WorkspaceName,
         route: routes.Route,
         request_id: names.RequestId,
         now: float,
     ) -> Admission | Refusal | None:
         """Decide on a request; wait for the quota lessor if it has to be asked.
 
-        Return None if there is no quota.
+        `workspace` is empty if the request belongs to none. Return None if it has no
+        quota.
         """
-        if workspace is None or self.bounds is None:
+        if not workspace or self.bounds is None:
             return None
-        terms = quota_terms.build_terms(workspace, self.bounds)
+        terms = self._find_terms_if_known(workspace)
         if terms is None:
             return None
         decided = event.Event()
-        self.decide(workspace.name, terms, route.goal_s, request_id, now, decided.send)
+        self.decide(workspace, terms, route.goal_s, request_id, now, decided.send)
         return decided.wait()
 
     def decide(
@@ -384,6 +393,12 @@
         else:
             self.client.return_token(admission.key, admission.workspace, admission.term)
 
+    def answer(self, message: quota_messages.Message) -> quota_messages.Answer | None:
+        """Answer a message of another host; None if this host is not the lessor."""
+        if self.bounds is None:
+            return None
+        return self.lessor.answer(message, self.loop.now())
+
     # The books of this host, for the client.
 
     def take_used(self, workspace: names.WorkspaceName) -> int:
--- a/corianderrill/gateway/request_records.py
+++ b/corianderrill/gateway/request_records.py
@@ -58,6 +58,25 @@
     )
 
 
+def was_certainly_not_sent(
+    request_coordinator: coordinator.RequestCoordinator,
+    outcome: coordinator.RequestOutcome,
+) -> bool:
+    """Return whether no attempt went to a replica and no query to an aggregator."""
+    if outcome is not coordinator.RequestOutcome.NOT_EXECUTED:
+        return False
+    tried = [
+        attempt
+        for sub_request in request_coordinator.sub_requests
+        for attempt in sub_request.attempts
+    ]
+    # The other connections may have carried a query to an aggregator.
+    own_connections = {attempt.connection for attempt in tried}
+    return request_coordinator.used_connections <= own_connections and all(
+        attempt.sent_at is None for attempt in tried
+    )
+
+
 def _count_request(
     meter: metrics.Recorder,
     route: str,
--- a/corianderrill/gateway/responses.py
+++ b/corianderrill/gateway/responses.py
@@ -20,6 +20,7 @@
     401: "Unauthorized",
     404: "Not Found",
     413: "Content Too Large",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     502: "Bad Gateway",
     503: "Service Unavailable",
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -29,5 +29,6 @@
     meter.set(metrics.GATEWAY_STORE_SILENT, round(silent_s, 3))
     if shared.view.was_confirmed():
         meter.set(metrics.GATEWAY_VIEW_AGE, round(shared.view.get_age_s(now), 3))
+    shared.quotas.update_gauges(now)
     meter.set(metrics.GATEWAY_LINES_LEFT_OUT, handler.dropped_lines)
     return meter.render()
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -13,6 +13,7 @@
     loop,
     pools,
     query_rate,
+    quotas,
     rate_limits,
     replica_notices,
     request_rates,
@@ -24,6 +25,8 @@
 
 MAX_AGGREGATOR_CONNECTIONS = 16
 
+QuotaGate = quotas.Quotas | quotas.Unlimited
+
 
 @dataclasses.dataclass(slots=True)
 class SharedState:
@@ -44,6 +47,7 @@
     request_rates: request_rates.RequestRates
     crash_watch: crash_watch.CrashWatch
     notices: replica_notices.ReplicaNotices
+    quotas: QuotaGate = dataclasses.field(default_factory=quotas.Unlimited)
     limit_planner: limit_plan.LimitPlanner = dataclasses.field(
         default_factory=limit_plan.LimitPlanner
     )
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -14,6 +14,7 @@
     delegation,
     in_flight,
     quarantine,
+    quotas,
     refusals,
     request_bodies,
     request_records,
@@ -173,7 +174,18 @@
             received_at,
             caller.workspace,
         )
-        return self._forward(environ, inbound, selected)
+        admission = self._shared.quotas.admit(
+            inbound.workspace, route, inbound.id, self._shared.loop.now()
+        )
+        if isinstance(admission, quotas.Refusal):
+            return self._refusals.refuse(
+                request_id,
+                route.name,
+                admission.status,
+                admission.decision.value,
+                admission.retry_after_s,
+            )
+        return self._forward(environ, inbound, selected, admission)
 
     def _compute_time_limit_s(
         self,
@@ -233,11 +245,13 @@
         environ: dict[str, object],
         inbound: requests.InboundRequest,
         selected: routes.SelectedRoute,
+        admission: quotas.Admission | None,
     ) -> responses.Response | None:
         route = selected.route
         services = self._target_selector.select_services(route)
         refusal = self._availability.find_refusal(route, services, inbound.received_at)
         if refusal is not None:
+            self._shared.quotas.give_back(admission)
             return self._refusals.refuse(
                 inbound.id, route.name, 503, refusal.reason, refusal.retry_after_s
             )
@@ -275,6 +289,8 @@
             disconnect_watcher.stop()
         if is_trial and outcome is coordinator.RequestOutcome.NOT_EXECUTED:
             self._crash_notes.quarantine.return_trial(inbound.fingerprint)
+        if request_records.was_certainly_not_sent(request_coordinator, outcome):
+            self._shared.quotas.give_back(admission)
         response = responses.build_response(
             request_coordinator, outcome, self._shared.rng
         )
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -117,6 +117,8 @@
     host: str
     address: str
     capacity_cores: float = 0.0
+    # Of the store when the key was written.
+    era: decoding.Integer = 0
 
 
 class _WireDemand(msgspec.Struct):
@@ -263,7 +265,10 @@
     """Return the value of the key of the slot that an aggregator holds."""
     return msgspec.json.encode(
         _WireAggregator(
-            aggregator.host, str(aggregator.address), aggregator.capacity_cores
+            aggregator.host,
+            str(aggregator.address),
+            aggregator.capacity_cores,
+            aggregator.era,
         )
     )
 
@@ -277,6 +282,7 @@
         names.HostName(document.host),
         address,
         document.capacity_cores,
+        document.era,
     )
 
 
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -293,6 +293,18 @@
         document["expected_rev"] = [{"key": key, "revision": 0}]
         return self._write(document, lease, (404, 412))
 
+    def take_over_key(
+        self, key: Key, value: bytes, former: view.StoreRevision, lease: Lease
+    ) -> view.StoreRevision | None:
+        """Write a key under a lease if its last change is at `former`.
+
+        Return its revision; None if the key has changed. After a StoreError it may have
+        been written. It then goes with its lease.
+        """
+        document = _build_write(key, value, lease.id)
+        document["expected_rev"] = [{"key": key, "revision": former}]
+        return self._write(document, lease, (404, 412))
+
     def write_key(
         self, key: Key, value: bytes, lease: Lease
     ) -> view.StoreRevision | None:
--- a/tests/utils/fake_stores.py
+++ b/tests/utils/fake_stores.py
@@ -10,6 +10,7 @@
         self.keys = {}
         self.leases = set()
         self.is_down = False
+        self.era = 0
         self.write_count = 0
         self._granted = 0
 
@@ -24,7 +25,7 @@
     def grant_lease(self, ttl_s):
         self._check()
         self._granted += 1
-        lease = store.LeaseId(self._granted)
+        lease = store.Lease(store.LeaseId(self._granted), self.era)
         self.leases.add(lease)
         return lease
 
