--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -15,7 +15,7 @@
 import msgspec
 from eventlet import patcher
 
-from corianderrill.gateway import workspace_events
+from corianderrill.gateway import quota_records, workspace_events
 
 # The unpatched module: eventlet's `write` would wait for a reader that is stuck.
 os = patcher.original("os")
@@ -431,6 +431,7 @@
     | InternalError
     | workspace_events.SharedKeys
     | workspace_events.HeldInQueue
+    | quota_records.Record
 )
 
 
