Evacuate availability zones by a key of the store

Operators had no way to stop all requests to the replicas of a zone. A key op/evacuate/ZONE now does: the view lists none of the zone's replicas, so that first attempts, hedges, retries, trials and delegations go elsewhere. Requests that wait in the queue of a pool, or for a connection to open, end unsent and move at once; a check whether a replica has crashed does not connect. A request whose services have too few replicas elsewhere is refused with 503 and the reason "evacuated".

After the removal each sub-request draws whether it may use the zone, with a share that grows in four steps over 8 s. A restored store decides anew by its first full read; a silent one changes nothing. The batch delay of the watch leaves room for evacuate_ms. The check for refusals moves from wsgi_app to a module of its own, which also takes allowed regions; the regions of a route bind its replicas and delegations.

Without such a key the lists of replicas are cached as before.

--- a/corianderrill/gateway/attempt_records.py
+++ b/corianderrill/gateway/attempt_records.py
@@ -12,7 +12,7 @@
 
 # An attempt without a reply after this many hedge delays is reported as overdue.
 OVERDUE_HEDGE_DELAYS = 2.0
-# A replica that asked for a pause is not to blame for these.
+# A replica that asked for a pause, or is evacuated, is not to blame for these.
 _OUTCOMES_OF_A_PAUSE = (
     replies.AttemptOutcome.NOT_EXECUTED,
     replies.AttemptOutcome.UNSENT,
@@ -27,7 +27,7 @@
 ) -> None:
     """Record the end of an attempt for its replica, pool and route."""
     replica = attempt.replica
-    if replica.is_quiet(now) and outcome in _OUTCOMES_OF_A_PAUSE:
+    if not replica.accepts_requests(now) and outcome in _OUTCOMES_OF_A_PAUSE:
         replica.forget_attempt(attempt)
         return
     match outcome:
--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -94,8 +94,8 @@
         self.sent_at = self.owner.loop.now()
 
     def may_send(self) -> bool:
-        """Return whether the replica has not asked for a pause since."""
-        return not self.replica.is_quiet(self.owner.loop.now())
+        """Return whether the replica is not evacuated and wants no pause since."""
+        return self.replica.accepts_requests(self.owner.loop.now())
 
     def may_use(self, connection: connections.Connection) -> bool:
         """Return whether no attempt of the request was sent on a connection.
--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -312,6 +312,19 @@
             self._request = None
             self._close()
 
+    def reject_held_back(self) -> bool:
+        """End a request that waits for the connection to open and may not be sent.
+
+        Return whether there was one; the connection is closed.
+        """
+        request = self._request
+        if self._state is not _State.CONNECTING or request is None:
+            return False
+        if request.may_send():
+            return False
+        self._fail(Failure.HELD_BACK)
+        return True
+
     def close_idle(self) -> None:
         """Close the connection if it is idle."""
         if self._state is _State.IDLE:
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -154,8 +154,8 @@
             self._repeat_from = started_at + terms.hedge_after_s
         self.late_answer_at = self.goal_at + LATE_ANSWER_GOAL_FACTOR * route.goal_s
         self._latency_estimator = shared.get_latency_estimator(route)
-        self._selector = replica_selector.ReplicaSelector(
-            shared, route.max_attempts, self._latency_estimator
+        self._selector = replica_selector.build_selector(
+            shared, route, self._latency_estimator
         )
         self._hedge_timing = hedge_timing.HedgeTiming(
             self.sub_requests,
--- a/corianderrill/gateway/crash_watch.py
+++ b/corianderrill/gateway/crash_watch.py
@@ -94,10 +94,13 @@
     ) -> bool:
         """Find out whether a replica ended while it ran a request.
 
-        Return False if the exchange ended in a way that does not suggest it.
+        Return False if the exchange ended in a way that does not suggest it, or if the
+        replica is evacuated, so that nothing may connect to it.
         """
         if not exchange.sent or exchange.failure not in _BREAKS:
             return False
+        if replica.is_evacuated:
+            return False
         registration = replica.registration
         process = f"{registration.id}/{registration.started_at_ms or 0}"
         suspect = _Suspect(request, has_reply, on_concluded)
--- a/corianderrill/gateway/pools.py
+++ b/corianderrill/gateway/pools.py
@@ -1,6 +1,7 @@
 """Connection pools of a host: one pool per replica address, with bounded size."""
 
 import math
+from collections.abc import Iterable
 
 from corianderrill import names
 from corianderrill.gateway import connections, loop, send_queue
@@ -138,12 +139,25 @@
                 self._queue.add(request)
                 return
 
-    def reject_held_back(self) -> None:
-        """End the queued requests that the server does not want any more."""
-        for request in self._queue.take_unsendable():
+    def reject_held_back(self) -> int:
+        """End the queued requests that may not be sent now; return their number."""
+        rejected = self._queue.take_unsendable()
+        for request in rejected:
             request.on_result(
                 connections.FailedExchange(connections.Failure.HELD_BACK, sent=False)
             )
+        return len(rejected)
+
+    def withdraw_unsent(self) -> int:
+        """End the requests that may not be sent any more; return their number.
+
+        Those for which a connection is being opened are among them. The connections
+        that carry no request are closed.
+        """
+        queued_count = self.reject_held_back()
+        opening = [c for c in list(self._connections) if c.reject_held_back()]
+        self.close_idle()
+        return queued_count + len(opening)
 
     def cancel_queued(self, request: connections.OutboundRequest) -> None:
         """Remove a request from the queue."""
@@ -205,6 +219,11 @@
         for address in self._pools.keys() - addresses:
             self._pools.pop(address).close_idle()
 
+    def withdraw_evacuated(self, addresses: Iterable[names.Address]) -> int:
+        """End the requests that wait for evacuated replicas; return their number."""
+        affected = [self._pools[a] for a in addresses if a in self._pools]
+        return sum(pool.withdraw_unsent() for pool in affected)
+
     def count_opened(self) -> int:
         """Return how many connections were opened so far by the current pools."""
         return sum(pool.opened_count for pool in self._pools.values())
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -2,6 +2,7 @@
 
 import gc
 import http
+import math
 import os
 import random
 import signal
@@ -115,6 +116,7 @@
                 self._quarantine, self._view, self.log, meter
             ),
             notices=replica_notices.ReplicaNotices(self._view, self.log, meter),
+            zone_regions=host_settings.zones,
         )
         self._store_client = store.StoreClient(host_settings.store_address)
         self._crash_notes = crash_notes.CrashNotes(
@@ -178,7 +180,9 @@
         self._pools.host_count = host_count
         self._demand.host_count = host_count
         self._aggregator_role.host_count = host_count
-        max_apply_delay_s = min(bounds.config_apply_s, bounds.drain_s)
+        max_apply_delay_s = min(
+            bounds.config_apply_s, bounds.drain_s, bounds.evacuate_s or math.inf
+        )
         self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
         self._store_probe.set_interval(max_apply_delay_s)
         self._store_relay.max_view_age_s = (
@@ -302,6 +306,7 @@
                 store.StoreError(store.FailureKind.UNREACHABLE, "the address changed")
             )
         self._apply_bounds(host_settings.bounds)
+        self._shared.zone_regions = host_settings.zones
         self._host_settings = host_settings
         self.log.record(event_log.Reloaded(reason, "in-force"))
         self._store_probe.check()
--- a/corianderrill/gateway/replica_selector.py
+++ b/corianderrill/gateway/replica_selector.py
@@ -6,15 +6,18 @@
 
 import dataclasses
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 from corianderrill import names
 from corianderrill.gateway import (
     attempts,
+    candidates,
     latency,
     limit_plan,
+    regions,
     replica_selection,
     replicas,
+    routes,
     shared_state,
 )
 
@@ -23,12 +26,14 @@
 class ReplicaSelector:
     """Selects replicas for one request, whose route allows `max_attempts`.
 
-    Times are in seconds of the host's monotonic clock.
+    The request goes only to replicas in `allowed_zones`; None allows all. Times are in
+    seconds of the host's monotonic clock.
     """
 
     shared: shared_state.SharedState
     max_attempts: int
     latency_estimator: latency.LatencyEstimator
+    allowed_zones: candidates.AllowedZones = None
 
     def select(
         self, sub_request: attempts.SubRequest, now: float
@@ -46,31 +51,51 @@
         if sub_request.count_attempted_replicas() >= self.max_attempts:
             return self._select_among(refused, now)
         tried = [attempt.replica for attempt in sub_request.attempts]
-        ready = view.list_ready(sub_request.service)
-        return (
-            self._select_among(ready, now, tried)
-            or self._select_among(
-                view.list_fallback(sub_request.service, now), now, tried
-            )
-            or self._select_among(refused, now)
+        for group in self._list_groups(sub_request.service, now):
+            best = self._select_among(group, now, tried)
+            if best is not None:
+                return best
+        return self._select_among(refused, now)
+
+    def _list_groups(
+        self, service: names.ServiceName, now: float
+    ) -> Iterator[list[replicas.Replica]]:
+        """Yield groups of candidates; one is used if those before have none to send to.
+
+        A sub-request that is held back from the replicas of a returning zone uses them
+        only if no other is available.
+        """
+        view = self.shared.view
+        ready = candidates.select_allowed(view.list_ready(service), self.allowed_zones)
+        held_back = view.evacuated.draw_held_back(now, self.shared.rng)
+        if held_back:
+            yield [
+                replica
+                for replica in ready
+                if replica.registration.zone not in held_back
+                and replica.is_available(now)
+            ]
+        yield ready
+        yield candidates.select_allowed(
+            view.list_fallback(service, now), self.allowed_zones
         )
 
     def _select_among(
         self,
-        candidates: list[replicas.Replica],
+        group: list[replicas.Replica],
         now: float,
         tried: Collection[replicas.Replica] = (),
     ) -> replicas.Replica | None:
         shared = self.shared
-        candidates = [r for r in candidates if not r.is_quiet(now)]
+        group = [r for r in group if not r.is_quiet(now)]
         if shared.rate_limits.has_any():
-            candidates = [
+            group = [
                 replica
-                for replica in candidates
+                for replica in group
                 if shared.rate_limits.compute_delay_s(replica, now) == 0.0
             ]
         return replica_selection.select_replica(
-            candidates,
+            group,
             shared.zone,
             shared.zone_detector,
             self.latency_estimator.expected_latency_s,
@@ -84,21 +109,28 @@
 
         Without any replica it is infinite.
         """
-        view = self.shared.view
-        candidates = view.list_ready(service) or view.list_fallback(service, now)
-        pauses_s = (max(replica.quiet_until - now, 0.0) for replica in candidates)
+        pauses_s = (
+            max(replica.quiet_until - now, 0.0)
+            for replica in self._list_candidates(service, now)
+        )
         return min(pauses_s, default=math.inf)
 
+    def _list_candidates(
+        self, service: names.ServiceName, now: float
+    ) -> list[replicas.Replica]:
+        return candidates.list_candidates(
+            self.shared.view, service, now, self.allowed_zones
+        )
+
     def assess_limits(
         self, sub_request: attempts.SubRequest, now: float
     ) -> limit_plan.Need:
         """Return what limits do to the first attempt of a sub-request."""
         service = sub_request.service
-        view = self.shared.view
-        candidates = view.list_ready(service) or view.list_fallback(service, now)
-        if not candidates:
+        possible = self._list_candidates(service, now)
+        if not possible:
             return limit_plan.Need(math.inf, 0.0)
-        available = [r for r in candidates if r.is_available(now)] or candidates
+        available = [r for r in possible if r.is_available(now)] or possible
         if any(replica.rate_limit_per_s is None for replica in available):
             return limit_plan.Need(0.0, 0.0)
         limits = self.shared.rate_limits
@@ -118,15 +150,38 @@
         Each comes with the zones that have a replica for it.
         """
         own_zone = self.shared.zone
+        view = self.shared.view
         listed = []
         for sub_request in sub_requests:
             best = self.select(sub_request, now)
             if best is None or best.registration.zone == own_zone:
                 continue
-            zones = {
-                replica.registration.zone
-                for replica in self.shared.view.list_ready(sub_request.service)
-                if replica.is_available(now)
-            }
-            listed.append((sub_request, zones - {own_zone}))
+            ready = candidates.select_allowed(
+                view.list_ready(sub_request.service), self.allowed_zones
+            )
+            zones = {r.registration.zone for r in ready if r.is_available(now)}
+            others = zones - {own_zone}
+            listed.append(
+                (
+                    sub_request,
+                    {z for z in others if not view.evacuated.is_returning(z)},
+                )
+            )
         return listed
+
+
+def build_selector(
+    shared: shared_state.SharedState,
+    route: routes.Route,
+    latency_estimator: latency.LatencyEstimator,
+    *more_regions: frozenset[names.RegionName],
+) -> ReplicaSelector:
+    """Return the selector of a request on a route.
+
+    Besides the regions of the route, those of each of `more_regions` bind it; an empty
+    set allows any.
+    """
+    allowed_zones = regions.find_allowed_zones(
+        shared.zone_regions, route.allowed_regions, *more_regions
+    )
+    return ReplicaSelector(shared, route.max_attempts, latency_estimator, allowed_zones)
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -88,7 +88,8 @@
     decay with time. `rate_limit_per_s` is how many requests a second the replica takes
     from all hosts together, None without a limit; it was last seen at
     `rate_limit_seen_at`, and this host has used its share of it up to `next_slot_at`.
-    Until `quiet_until` the replica wants no requests of this host.
+    Until `quiet_until` the replica wants no requests of this host. While its zone
+    `is_evacuated`, it gets none at all.
     """
 
     registration: Registration
@@ -112,6 +113,7 @@
     rate_limit_seen_at: float = 0.0
     next_slot_at: float = 0.0
     quiet_until: float = 0.0
+    is_evacuated: bool = False
 
     @property
     def id(self) -> InstanceId:
@@ -236,6 +238,10 @@
         """Return whether the replica wants no requests of this host now."""
         return now < self.quiet_until
 
+    def accepts_requests(self, now: float) -> bool:
+        """Return whether requests may be sent to the replica at all."""
+        return not self.is_evacuated and not self.is_quiet(now)
+
     def is_fit_for_hedge(self, now: float) -> bool:
         """Return whether the replica has room and its last connection was opened.
 
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -21,6 +21,8 @@
     meter.set(metrics.GATEWAY_CONNECTIONS, shared.pools.count_opened())
     limited_count = len(shared.view.list_rate_limited())
     meter.set(metrics.GATEWAY_RATE_LIMITED_REPLICAS, limited_count)
+    evacuated_count = len(shared.view.evacuated.list_evacuated())
+    meter.set(metrics.GATEWAY_EVACUATED_ZONES, evacuated_count)
     meter.set(metrics.GATEWAY_STORE_CALLS, watcher.client.call_count)
     meter.set(metrics.GATEWAY_STORE_ERA, watcher.era)
     meter.set(metrics.GATEWAY_STORE_REVISION, watcher.revision)
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Mapping
 
 from corianderrill import metrics, names
 from corianderrill.gateway import (
@@ -27,7 +28,10 @@
 
 @dataclasses.dataclass(slots=True)
 class SharedState:
-    """The state and services of one host that each request uses."""
+    """The state and services of one host that each request uses.
+
+    `zone_regions` tells the region of each availability zone.
+    """
 
     zone: names.ZoneName
     view: view.View
@@ -54,6 +58,10 @@
         dataclasses.field(default_factory=dict)
     )
 
+    zone_regions: Mapping[names.ZoneName, names.RegionName] = dataclasses.field(
+        default_factory=dict
+    )
+
     def get_aggregator_pool(self, address: names.Address) -> pools.ConnectionPool:
         """Return the pool of connections to an aggregator."""
         pool = self.aggregator_pools.get(address)
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -7,9 +7,11 @@
 import traceback
 from collections.abc import Collection, Iterable
 
+from corianderrill import names
 from corianderrill.gateway import (
     aggregators,
     demand_reporter,
+    evacuation_records,
     event_log,
     quarantine,
     rate_limits,
@@ -65,6 +67,8 @@
             self._apply_demand_item(item, now)
         elif item.key.startswith(documents.CRASH_KEY_PREFIX):
             self._apply_crash_item(item, now)
+        elif item.key.startswith(documents.EVACUATION_KEY_PREFIX):
+            self._apply_evacuation_item(item, now)
 
     def _apply_crash_item(self, item: store.Item, now: float) -> None:
         try:
@@ -100,6 +104,35 @@
             )
         )
 
+    def _apply_evacuation_item(self, item: store.Item, now: float) -> None:
+        try:
+            zone = documents.parse_evacuation_key(item.key)
+        except documents.DocumentError as error:
+            self._record_skipped_item(item, str(error))
+            return
+        self._apply_evacuation(zone, item.value is not None, item.revision, now)
+
+    def _apply_evacuation(
+        self,
+        zone: names.ZoneName,
+        is_evacuated: bool,
+        revision: view.StoreRevision,
+        now: float,
+    ) -> None:
+        if self.view.apply_evacuation(zone, is_evacuated, revision, now):
+            change = "began" if is_evacuated else "ended"
+            self._record_evacuation(zone, change, revision)
+
+    def _record_evacuation(
+        self, zone: names.ZoneName, change: str, revision: view.StoreRevision
+    ) -> None:
+        replica_count = len(self.view.list_in_zone(zone))
+        self.log.record(
+            evacuation_records.ZoneEvacuation(
+                zone, change, replica_count, revision, self.era
+            )
+        )
+
     def _apply_demand_item(self, item: store.Item, now: float) -> None:
         host = documents.parse_demand_key(item.key)
         try:
@@ -235,9 +268,14 @@
         for key in self.aggregators.list_keys():
             if documents.format_aggregator_key(key) not in listed_keys:
                 self.aggregators.apply(key, None, revision)
+        for zone in self.view.evacuated.list_evacuated():
+            if documents.format_evacuation_key(zone) not in listed_keys:
+                self._apply_evacuation(zone, False, revision, now)
 
     def drop_expired(self, revision: view.StoreRevision, now: float) -> None:
-        """Drop the replicas whose fallback time has expired, and lapsed reports."""
+        """Drop what was kept for a limited time after it left the store."""
+        for zone in self.view.evacuated.drop_returned(now):
+            self._record_evacuation(zone, "returned", revision)
         self.limits.directory.drop_lapsed(now)
         for replica_id in self.view.drop_expired(now):
             self.log.record(
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -20,6 +20,7 @@
 from corianderrill.gateway import (
     aggregators,
     change_history,
+    evacuation_records,
     event_log,
     loop,
     pools,
@@ -349,6 +350,12 @@
 
     def _retain_pools(self) -> None:
         self.pools.retain(self.view.list_addresses())
+        addresses = self.view.list_evacuated_addresses()
+        if not addresses:
+            return
+        withdrawn = self.pools.withdraw_evacuated(addresses)
+        if withdrawn:
+            self.log.record(evacuation_records.AttemptsWithdrawn(withdrawn))
 
     def drop_expired(self) -> None:
         """Drop what was kept for a limited time after it left the store."""
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -14,7 +14,7 @@
 from typing import NewType
 
 from corianderrill import names
-from corianderrill.gateway import replicas, routes
+from corianderrill.gateway import evacuations, replicas, routes
 
 StoreRevision = NewType("StoreRevision", int)
 # Rises whenever the store comes back from an older copy. Revisions and leases have a
@@ -87,6 +87,9 @@
     confirmed_at: float = -math.inf
     max_unconfirmed_s: float = math.inf
     era_since: float = -math.inf
+    evacuated: evacuations.Evacuations = dataclasses.field(
+        default_factory=evacuations.Evacuations
+    )
     # When the replicas announced their leaving that did, the last one last.
     _announced_at: dict[replicas.InstanceId, float] = dataclasses.field(
         default_factory=dict
@@ -129,6 +132,7 @@
     def enter_era(self, now: float) -> None:
         """Take any revision for a new one, since the store counts them anew."""
         self.era_since = now
+        self.evacuated.enter_era()
         for entry in self._entries.values():
             entry.revision = StoreRevision(0)
             entry.is_from_earlier_era = True
@@ -150,6 +154,7 @@
         replica = _update_replica(entry, registration, now)
         if replica is None:
             return UpdateOutcome.STALE
+        replica.is_evacuated = registration.zone in self.evacuated.list_evacuated()
         fallback_until = self._get_fallback_end(entry, registration, now)
         self._entries[registration.id] = _Entry(
             revision,
@@ -228,6 +233,50 @@
         self._ready_by_service.clear()
         return True
 
+    def apply_evacuation(
+        self,
+        zone: names.ZoneName,
+        is_evacuated: bool,
+        revision: StoreRevision,
+        now: float,
+    ) -> bool:
+        """Apply the evacuation of a zone, or its end; return whether it is a change."""
+        if not self.evacuated.apply(zone, is_evacuated, revision, now):
+            return False
+        for replica in self.list_in_zone(zone):
+            replica.is_evacuated = is_evacuated
+        self._ready_by_service.clear()
+        return True
+
+    def list_in_zone(self, zone: names.ZoneName) -> list[replicas.Replica]:
+        """Return the replicas of a zone that may be in use, evacuated or not."""
+        return [
+            entry.replica
+            for entry in self._entries.values()
+            if entry.replica is not None and entry.replica.registration.zone == zone
+        ]
+
+    def list_evacuated_addresses(self) -> set[names.Address]:
+        """Return the addresses of the evacuated replicas."""
+        return {
+            replica.registration.address
+            for zone in self.evacuated.list_evacuated()
+            for replica in self.list_in_zone(zone)
+        }
+
+    def list_evacuated(
+        self, service: names.ServiceName, now: float
+    ) -> list[replicas.Replica]:
+        """Return the replicas of a service that only an evacuation rules out."""
+        return [
+            entry.replica
+            for entry in self._entries.values()
+            if entry.replica is not None
+            and entry.replica.is_evacuated
+            and entry.replica.registration.service == service
+            and (entry.fallback_until is None or now < entry.fallback_until)
+        ]
+
     def list_leaving(self, since: float) -> list[replicas.Registration]:
         """Return the registrations whose process announced its leaving since a time.
 
@@ -280,7 +329,7 @@
         ]
 
     def list_ready(self, service: names.ServiceName) -> list[replicas.Replica]:
-        """Return the replicas of a service that are registered as ready."""
+        """Return the replicas of a service that are ready, none that is evacuated."""
         if not self._ready_by_service:
             self._ready_by_service = self._group_ready_by_service()
         return self._ready_by_service.get(service, [])
@@ -293,6 +342,7 @@
             entry.replica
             for entry in self._entries.values()
             if entry.replica is not None
+            and not entry.replica.is_evacuated
             and entry.fallback_until is not None
             and now < entry.fallback_until
             and entry.replica.registration.service == service
@@ -301,7 +351,7 @@
     def is_in_use(self, replica: replicas.Replica, now: float) -> bool:
         """Return whether a replica may still get requests."""
         entry = self._entries.get(replica.id)
-        if entry is None or entry.replica is not replica:
+        if entry is None or entry.replica is not replica or replica.is_evacuated:
             return False
         return entry.fallback_until is None or now < entry.fallback_until
 
@@ -311,7 +361,9 @@
         ready = (
             entry.replica
             for entry in self._entries.values()
-            if entry.replica is not None and entry.fallback_until is None
+            if entry.replica is not None
+            and entry.fallback_until is None
+            and not entry.replica.is_evacuated
         )
         ordered = sorted(ready, key=_get_service)
         return {
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import itertools
-import math
 from collections.abc import Callable, Iterable
 
 import eventlet
@@ -10,6 +9,7 @@
 
 from corianderrill import metrics
 from corianderrill.gateway import (
+    availability,
     caller_connections,
     coordinator,
     crash_notes,
@@ -27,9 +27,9 @@
 from corianderrill.platform import requests
 
 MAX_IN_FLIGHT_REQUESTS = 600
+MIN_RETRY_AFTER_S = availability.MIN_RETRY_AFTER_S
 # `Retry-After` has random jitter, so that callers refused at the same time don't all
 # retry at the same time.
-MIN_RETRY_AFTER_S = 0.05
 RETRY_AFTER_JITTER_S = 0.15
 # As a share of the delay, for longer ones.
 RETRY_AFTER_JITTER = 0.25
@@ -38,9 +38,6 @@
 # if the store answers. Requests that arrive before wait for it.
 STARTUP_WAIT_S = 0.25
 STARTUP_POLL_INTERVAL_S = 0.01
-# While too many availability zones seem cut off, a host still forwards one request per
-# interval, to detect when the zones are reachable again.
-ZONE_PROBE_INTERVAL_S = 0.4
 # An idle caller connection is kept open for this multiple of the configured idle
 # timeout of callers, which is longer than callers reuse it.
 IDLE_TIMEOUT_FACTOR = 1.5
@@ -72,14 +69,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request is refused before it is forwarded, and when it may return."""
-
-    reason: str
-    retry_after_s: float
-
-
 class GatewayApp:
     """Validates the requests of callers, forwards them and records their outcome."""
 
@@ -92,7 +81,7 @@
         self._crash_notes = notes
         self._target_selector = targets.TargetSelector(shared.rng)
         self._started_at = shared.loop.now()
-        self._last_zone_probe_at = 0.0
+        self._availability = availability.AvailabilityCheck(shared)
         self.in_flight = in_flight.InFlightRequests()
         # When the last answer has to be known, once the process shuts down.
         self.must_end_at: float | None = None
@@ -251,7 +240,7 @@
     ) -> Response | None:
         route = selected.route
         services = self._target_selector.select_services(route)
-        refusal = self._find_refusal(route, services, inbound.received_at)
+        refusal = self._availability.find_refusal(route, services, inbound.received_at)
         if refusal is not None:
             return self._refuse(
                 inbound.id, route.name, 503, refusal.reason, refusal.retry_after_s
@@ -302,54 +291,6 @@
             return False
         return self._crash_notes.claim_trial(inbound.fingerprint)
 
-    def _find_refusal(
-        self, route: routes.Route, services: tuple[str, ...], now: float
-    ) -> Refusal | None:
-        """Return why the request is refused, or None if it is forwarded.
-
-        It is refused if too few of its services have a replica that wants requests, in
-        a zone that is not suspected to be cut off.
-        """
-        required = route.count_required_replies(len(services))
-        candidates_by_service = [
-            self._list_candidates(service, now) for service in services
-        ]
-        if sum(map(bool, candidates_by_service)) < required:
-            return Refusal("no-replicas", MIN_RETRY_AFTER_S)
-        pauses_s = [
-            min((r.quiet_until - now for r in candidates), default=math.inf)
-            for candidates in candidates_by_service
-        ]
-        pause_s = sorted(pauses_s)[required - 1]
-        if pause_s > 0.0:
-            return Refusal("replicas-quiet", max(pause_s, MIN_RETRY_AFTER_S))
-        if (
-            sum(
-                self._has_candidate_in_healthy_zone(candidates, now)
-                for candidates in candidates_by_service
-            )
-            >= required
-        ):
-            return None
-        if now - self._last_zone_probe_at >= ZONE_PROBE_INTERVAL_S:
-            # This request probes whether the zones are reachable again.
-            self._last_zone_probe_at = now
-            return None
-        return Refusal("zones-cut-off", MIN_RETRY_AFTER_S)
-
-    def _list_candidates(self, service: str, now: float) -> list[replicas.Replica]:
-        view = self._shared.view
-        return view.list_ready(service) or view.list_fallback(service, now)
-
-    def _has_candidate_in_healthy_zone(
-        self, candidates: list[replicas.Replica], now: float
-    ) -> bool:
-        zone_detector = self._shared.zone_detector
-        return any(
-            not zone_detector.is_suspect(replica.registration.zone, now)
-            for replica in candidates
-        )
-
     # Responses.
 
     def _build_response(
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -240,6 +240,9 @@
     ("liveness",),
     3,
 )
+GATEWAY_EVACUATED_ZONES = _gauge(
+    "gateway_evacuated_zones", "Zones whose replicas get nothing, by the store."
+)
 GATEWAY_STORE_ERA = _gauge(
     "gateway_store_era", "Era of the platform's store that this host has reached."
 )
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -18,6 +18,8 @@
 AGGREGATOR_KEY_PREFIX = "aggregators/"
 DEMAND_KEY_PREFIX = "demand/"
 CRASH_KEY_PREFIX = "crashes/"
+# A key of this prefix names a zone, and may have any value.
+EVACUATION_KEY_PREFIX = "op/evacuate/"
 # A server that claims to execute more requests at once is not believed.
 MAX_CAPACITY = 1_000_000
 # The year 2100. No clock is read: the time of day may jump.
@@ -339,6 +341,19 @@
     )
 
 
+def format_evacuation_key(zone: names.ZoneName) -> str:
+    """Return the store's key that asks for the evacuation of a zone."""
+    return f"{EVACUATION_KEY_PREFIX}{zone}"
+
+
+def parse_evacuation_key(key: str) -> names.ZoneName:
+    """Return the zone that a key evacuates. Raise DocumentError if it names none."""
+    zone = key.removeprefix(EVACUATION_KEY_PREFIX)
+    if not zone:
+        raise DocumentError(f"expected a zone in the key {key!r}")
+    return names.ZoneName(zone)
+
+
 def parse_replica_id(key: str) -> replicas.InstanceId:
     """Return the replica ID in the key of an entry."""
     return replicas.InstanceId(key.removeprefix(SERVER_KEY_PREFIX))
--- a/tests/test_gateway_store_changes.py
+++ b/tests/test_gateway_store_changes.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from corianderrill.gateway import event_log, quarantine, store_changes
+from corianderrill.gateway import (
+    evacuation_records,
+    evacuations,
+    event_log,
+    quarantine,
+    store_changes,
+)
 from corianderrill.platform import documents, store
 from tests.utils import fake_stores, gateway_rig
 from tests.utils import gateway_builders as builders
@@ -77,6 +83,10 @@
     return changes.quarantine.assess(FINGERPRINT, is_store_known=True).value
 
 
+def read_evacuated(changes):
+    return changes.view.evacuated.list_evacuated()
+
+
 # Key, values before and after the restore, how what is known is read, what it is then.
 KINDS = {
     "configuration": (
@@ -99,6 +109,10 @@
         *("crashes/f0", encode_notes("a"), encode_notes("a", "b", "c")),
         *(read_verdict, "suspected", "quarantined"),
     ),
+    "evacuation": (
+        *("op/evacuate/zone-b", b"any value", None),
+        *(read_evacuated, {"zone-b"}, set()),
+    ),
 }
 
 
@@ -177,3 +191,55 @@
     (skipped,) = changes.log.list_of(event_log.EntrySkipped)
     assert skipped.key == "servers/odd"
     assert "nobody expected this" in skipped.reason
+
+
+def build_evacuated(zone="zone-b", revision=100):
+    changes = build_changes()
+    changes.enter_era(1, 0.0)
+    key = store.Key(documents.format_evacuation_key(zone))
+    changes.apply([store.Item(key, revision, b"")], 1.0)
+    return changes, key
+
+
+# Guards against an evacuation that outlasts its key, whose removal a full read shows.
+def test_evacuation_ends_if_a_full_read_lacks_its_key():
+    changes, _ = build_evacuated()
+    changes.remove_unlisted([], 120, 5.0, is_restored=False)
+    assert read_evacuated(changes) == set()
+    ends = changes.log.list_of(evacuation_records.ZoneEvacuation)
+    assert [record.change for record in ends] == ["began", "ended"]
+
+
+# Guards against a full read that is older than the key.
+def test_full_read_of_an_earlier_revision_ends_no_evacuation():
+    changes, _ = build_evacuated(revision=100)
+    changes.remove_unlisted([], 90, 5.0, is_restored=False)
+    assert read_evacuated(changes) == {"zone-b"}
+
+
+@pytest.mark.parametrize("has_key", [False, True])
+def test_first_full_read_of_a_restored_store_tells_whether_a_zone_is_evacuated(has_key):
+    changes, key = build_evacuated(revision=100)
+    changes.enter_era(2, 10.0)
+    assert read_evacuated(changes) == {"zone-b"}
+    items = [store.Item(key, 7, b"")] if has_key else []
+    changes.apply(items, 10.0)
+    changes.remove_unlisted(items, 20, 10.0, is_restored=True)
+    assert read_evacuated(changes) == ({"zone-b"} if has_key else set())
+
+
+def test_evacuation_without_a_zone_is_skipped():
+    changes = build_changes()
+    changes.apply([store.Item(store.Key("op/evacuate/"), 5, b"")], 1.0)
+    assert read_evacuated(changes) == set()
+    (skipped,) = changes.log.list_of(event_log.EntrySkipped)
+    assert skipped.key == "op/evacuate/"
+
+
+def test_end_of_a_return_is_logged():
+    changes, key = build_evacuated()
+    changes.apply([store.Item(key, 101, None)], 2.0)
+    changes.drop_expired(101, 2.0 + evacuations.RETURN_S)
+    changes.drop_expired(101, 60.0)
+    records = changes.log.list_of(evacuation_records.ZoneEvacuation)
+    assert [record.change for record in records] == ["began", "ended", "returned"]
--- a/tests/utils/gateway_rig.py
+++ b/tests/utils/gateway_rig.py
@@ -207,9 +207,9 @@
 
 
 @contextlib.contextmanager
-def run(directory):
+def run(directory, **settings):
     """Yield a rig whose gateway is ready."""
-    rig = GatewayRig(directory)
+    rig = GatewayRig(directory, **settings)
     try:
         rig.publish_configuration()
         rig.register_servers()
