--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -96,8 +96,8 @@
         )
         self.progress = request_outcomes.Progress(self.sub_requests, required_count)
         self._latency_estimator = shared.get_latency_estimator(route)
-        self._selector = replica_selector.ReplicaSelector(
-            shared, route.max_attempts, self._latency_estimator
+        self._selector = replica_selector.build_selector(
+            shared, route, self._latency_estimator
         )
         self._sender = attempt_sender.AttemptSender(
             self, shared, selected.configuration.services, self._latency_estimator
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -15,7 +15,7 @@
 import msgspec
 from eventlet import patcher
 
-from corianderrill.gateway import quota_records, workspace_events
+from corianderrill.gateway import evacuation_records, quota_records, workspace_events
 
 # The unpatched module: eventlet's `write` would wait for a reader that is stuck.
 os = patcher.original("os")
@@ -432,6 +432,8 @@
     | workspace_events.SharedKeys
     | workspace_events.HeldInQueue
     | quota_records.Record
+    | evacuation_records.ZoneEvacuation
+    | evacuation_records.AttemptsWithdrawn
 )
 
 
