Keep the keys of callers out of the store calls that aggregators answer

An aggregator that answers a watch in place of the store sent the configuration as it is, with all keys, to the hosts of its zone. It now sends a digest in place of each key, and nothing of a configuration that it cannot decode. Hosts look a key up by its digest, so that both forms of a configuration are the same to them and a host that is cut off from the store still gets new versions. A digest is no key.

--- a/corianderrill/gateway/routes.py
+++ b/corianderrill/gateway/routes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import hashlib
 import math
 import statistics
 from collections.abc import Iterable, Mapping
@@ -13,6 +14,10 @@
 ConfigurationVersion = NewType("Version", int)
 # A secret of the callers of a workspace. It is in no log line, metric or message.
 WorkspaceKey = NewType("WorkspaceKey", str)
+# Stands for a key in what is kept and sent. No caller can use it in place of the key.
+KeyDigest = NewType("KeyDigest", str)
+
+KEY_DIGEST_BYTES = 16
 
 COVERAGE_TOLERANCE = 1e-9
 
@@ -159,7 +164,7 @@
     routes_by_host: Mapping[str, Mapping[str, Route]]
     # Without workspaces, callers need no key.
     has_workspaces: bool = False
-    workspaces_by_key: Mapping[WorkspaceKey, Workspace] = dataclasses.field(
+    workspaces_by_key: Mapping[KeyDigest, Workspace] = dataclasses.field(
         default_factory=dict
     )
     workspaces_by_name: Mapping[names.WorkspaceName, Workspace] = dataclasses.field(
@@ -171,7 +176,7 @@
 
     def find_workspace(self, key: WorkspaceKey) -> Workspace | None:
         """Return the workspace that holds a key."""
-        return self.workspaces_by_key.get(key)
+        return self.workspaces_by_key.get(digest_key(key))
 
     def select_route(self, host: str, path: str) -> "SelectedRoute | None":
         """Return the route of a request with this configuration; None without one."""
@@ -204,12 +209,18 @@
     route: Route
 
 
+def digest_key(key: WorkspaceKey) -> KeyDigest:
+    """Return the digest that stands for a key."""
+    digest = hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES)
+    return KeyDigest(digest.hexdigest())
+
+
 def build_configuration(
     version: ConfigurationVersion,
     routes: tuple[Route, ...],
     services: tuple[Service, ...],
     limits: CallerLimits,
-    workspaces_by_key: Mapping[WorkspaceKey, Workspace] | None = None,
+    workspaces_by_key: Mapping[KeyDigest, Workspace] | None = None,
     shared_keys: tuple[SharedKeys, ...] = (),
 ) -> Configuration:
     """Return a configuration with the index that `find_route` uses.
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import functools
 import re
 from collections.abc import Sequence
 from typing import Annotated, Literal
@@ -74,6 +75,8 @@
 class _WireWorkspace(msgspec.Struct):
     name: str
     api_keys: list[str] = []
+    # In place of keys, where another host has sent the configuration.
+    api_key_digests: list[str] = []
     priority: int = 0
     # 0 means no limit, for both.
     rate_per_s: float = 0.0
@@ -175,7 +178,7 @@
 def _convert_workspaces(
     tenants: Sequence[_WireWorkspace] | None,
 ) -> tuple[
-    dict[routes.WorkspaceKey, routes.Workspace] | None, tuple[routes.SharedKeys, ...]
+    dict[routes.KeyDigest, routes.Workspace] | None, tuple[routes.SharedKeys, ...]
 ]:
     """Return the workspaces by key, and which of them have keys in common.
 
@@ -183,13 +186,13 @@
     """
     if tenants is None:
         return None, ()
-    workspaces_by_key: dict[routes.WorkspaceKey, routes.Workspace] = {}
+    workspaces_by_key: dict[routes.KeyDigest, routes.Workspace] = {}
     shared: collections.Counter[tuple[names.WorkspaceName, names.WorkspaceName]]
     shared = collections.Counter()
     for tenant in tenants:
         workspace = _convert_workspace(tenant)
-        for key in map(routes.WorkspaceKey, tenant.api_keys):
-            holder = workspaces_by_key.setdefault(key, workspace)
+        for digest in _list_digests(tenant):
+            holder = workspaces_by_key.setdefault(digest, workspace)
             if holder is not workspace:
                 shared[holder.name, workspace.name] += 1
     return workspaces_by_key, tuple(
@@ -198,6 +201,32 @@
     )
 
 
+def _list_digests(tenant: _WireWorkspace) -> list[routes.KeyDigest]:
+    return [
+        *map(routes.digest_key, map(routes.WorkspaceKey, tenant.api_keys)),
+        *map(routes.KeyDigest, tenant.api_key_digests),
+    ]
+
+
+@functools.lru_cache(maxsize=2)
+def withhold_keys(value: bytes) -> bytes:
+    """Return the value of a configuration with digests in place of its keys.
+
+    It is empty if the configuration is invalid, since it may hold keys all the same.
+    """
+    try:
+        document = _decode(_CONFIGURATION_DECODER, value)
+    except DocumentError:
+        return b""
+    if not document.tenants:
+        return value
+    fields = msgspec.json.decode(value)
+    for tenant, tenant_fields in zip(document.tenants, fields["tenants"], strict=True):
+        tenant_fields.pop("api_keys", None)
+        tenant_fields["api_key_digests"] = _list_digests(tenant)
+    return msgspec.json.encode(fields)
+
+
 def _convert_workspace(tenant: _WireWorkspace) -> routes.Workspace:
     name = tenant.name
     if not name or name != name.strip() or not name.isprintable():
--- a/corianderrill/platform/relay_messages.py
+++ b/corianderrill/platform/relay_messages.py
@@ -1,6 +1,7 @@
 """Calls of other hosts that an aggregator answers in place of the platform's store.
 
-They have the store's own form, so that a host needs one client for both.
+They have the store's own form, so that a host needs one client for both. The keys of
+callers stay out of them.
 """
 
 import base64
@@ -10,7 +11,7 @@
 import msgspec
 
 from corianderrill.gateway import view
-from corianderrill.platform import store
+from corianderrill.platform import documents, store
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,5 +59,8 @@
 def _encode_item(item: store.Item) -> dict[str, object]:
     if item.value is None:
         return {"key": item.key, "revision": item.revision, "deleted": True}
-    value = base64.b64encode(item.value).decode()
-    return {"key": item.key, "revision": item.revision, "value": value}
+    value = item.value
+    if item.key == documents.CONFIGURATION_KEY:
+        value = documents.withhold_keys(value)
+    text = base64.b64encode(value).decode()
+    return {"key": item.key, "revision": item.revision, "value": text}
--- a/tests/test_gateway_store_relay.py
+++ b/tests/test_gateway_store_relay.py
@@ -1,13 +1,15 @@
 """Watches that an aggregator answers in place of the store."""
 
+import base64
 import json
 
 import eventlet
 import pytest
 
 from corianderrill.gateway import change_history, store_relay
-from corianderrill.platform import store
+from corianderrill.platform import documents, store
 from tests.utils import gateway_builders as builders
+from tests.utils import gateway_rig
 
 TIMEOUT_S = 5.0
 ERA = 3
@@ -49,6 +51,57 @@
     assert reply["events"] == [{"key": "servers/i-12", "revision": 12, "deleted": True}]
 
 
+def encode_configuration(**tenant):
+    tenants = [{"name": "kami", "rate_per_s": 2.5, **tenant}, {"name": "anu"}]
+    return json.dumps(gateway_rig.build_configuration(4, tenants)).encode()
+
+
+def relay_configuration(relay, value):
+    """Return the value of a configuration as another host gets it."""
+    key = store.Key(documents.CONFIGURATION_KEY)
+    relay.history.append((store.Item(key, 11, value),), 11)
+    (event,) = watch(relay, 10)["events"]
+    return base64.b64decode(event["value"])
+
+
+# Guards against the keys of callers in messages between hosts.
+def test_configuration_is_passed_on_without_its_keys(relay):
+    value = encode_configuration(api_keys=["k-3f9a", "k-77c1"])
+    relayed = relay_configuration(relay, value)
+    assert b"k-3f9a" not in relayed
+    assert b"k-77c1" not in relayed
+    original = documents.decode_configuration(value)
+    decoded = documents.decode_configuration(relayed)
+    assert decoded.find_workspace("k-3f9a") == original.find_workspace("k-3f9a")
+    assert decoded.find_workspace("k-3f9a").requests_per_s == 2.5
+    assert decoded.workspaces_by_key == original.workspaces_by_key
+    assert decoded.version == original.version
+    assert len(decoded.routes) == len(original.routes)
+
+
+def test_digest_of_a_key_is_no_key(relay):
+    value = encode_configuration(api_keys=["k-3f9a"])
+    for version in (value, relay_configuration(relay, value)):
+        configuration = documents.decode_configuration(version)
+        (digest,) = configuration.workspaces_by_key
+        assert configuration.find_workspace(digest) is None
+
+
+def test_configuration_without_workspaces_is_passed_on_as_it_is(relay):
+    value = json.dumps(gateway_rig.build_configuration(4), indent=3).encode()
+    assert relay_configuration(relay, value) == value
+
+
+@pytest.mark.parametrize("cut", [1, 40])
+def test_invalid_configuration_is_not_passed_on_since_it_may_hold_keys(relay, cut):
+    value = encode_configuration(api_keys=["k-3f9a"])[:-cut]
+    assert relay_configuration(relay, value) == b""
+
+
+def test_configuration_with_keys_of_another_shape_is_not_passed_on(relay):
+    assert relay_configuration(relay, encode_configuration(api_keys="k-3f9a")) == b""
+
+
 def test_watch_waits_for_a_change(relay):
     eventlet.spawn_after(0.05, relay.history.append, (build_item(11),), 11)
     assert [event["revision"] for event in watch(relay, 10)["events"]] == [11]
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -1,5 +1,6 @@
 """End-to-end tests of gateway processes whose callers need a key."""
 
+import base64
 import contextlib
 import itertools
 import json
@@ -8,6 +9,7 @@
 import eventlet
 import pytest
 
+from corianderrill.platform import documents, store
 from tests.utils import aggregator_zones, gateway_rig
 
 KEY = "k-3f9a77c1"
@@ -230,6 +232,20 @@
                 pass
 
 
+def watch_aggregator(zone, after):
+    """Return the configurations that an aggregator sends to other hosts."""
+    ip, _, _ = zone.aggregator.gateway_address.partition(":")
+    connection = gateway_rig.connect(f"{ip}:{zone.port_range[0]}")
+    query = f"after={after}&era={zone.rig.store.era}&wait_ms=2000"
+    connection.request("GET", f"{store.WATCH_PATH}?{query}")
+    events = json.loads(connection.getresponse().read())["events"]
+    return [
+        base64.b64decode(event["value"])
+        for event in events
+        if event["key"] == documents.CONFIGURATION_KEY
+    ]
+
+
 def test_refused_key_is_logged_with_its_reason(rig):
     send(rig, "/single/x", UNKNOWN_KEY, "q-1")
     _, records = read_records(rig)
@@ -266,10 +282,8 @@
 def test_request_that_waited_behind_others_names_them_in_the_log(rig):
     rig.single_server.delay_s = 1.5
     # More than this host has connections to the replica, which all are used up.
-    first = [
-        eventlet.spawn(send, rig, "/single/x", KEY, f"first-{n}") for n in range(6)
-    ]
-    rig.wait_until(lambda: "first-0" in rig.single_server.requests)
+    first = [eventlet.spawn(send, rig, "/single/x", KEY, f"hot-{n}") for n in range(6)]
+    rig.wait_until(lambda: any(map(is_hot, rig.single_server.requests)))
     eventlet.sleep(0.2)
     hurried = {"X-Deadline-Ms": "300"}
     assert send(rig, "/single/x", OTHER_KEY, "late", headers=hurried) == 503
@@ -294,9 +308,13 @@
         rig.publish_configuration(version=2, tenants=TENANTS, gather=PUBLIC)
         for host in rig.hosts:
             rig.wait_until(lambda host=host: send(host, "/single/x", None) == 401)
+        before = rig.store.revision
         rig.publish_configuration(version=3, tenants=TENANTS)
         for host in rig.hosts:
             rig.wait_until(lambda host=host: send(host, "/gather/x", None) == 401)
+        configurations = watch_aggregator(zone, before)
+        assert configurations
+        assert not any(key in str(configurations) for key in (KEY, OTHER_KEY))
         forged = {"X-Tenant": "anu"}
         ids = [f"q-{number}" for number in range(20)]
         for request_id in ids:
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -137,7 +137,8 @@
             for name in services
         ),
         routes.CallerLimits(),
-        workspaces_by_key,
+        workspaces_by_key
+        and {routes.digest_key(k): w for k, w in workspaces_by_key.items()},
     )
 
 
