Show that a delegated query has the workspace and the rank of its request

An aggregator that took a delegated query for one without a workspace sent the same bytes, so that no test failed. One with a key among the headers of the hop fails then, and passes now.

--- a/tests/test_gateway_send_order.py
+++ b/tests/test_gateway_send_order.py
@@ -6,13 +6,21 @@
 import itertools
 import math
 import random
+import types
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from corianderrill.gateway import routes, send_order, send_queue, workspace_ranks
+from corianderrill.gateway import (
+    delegation,
+    routes,
+    send_order,
+    send_queue,
+    workspace_ranks,
+)
 from tests.utils import gateway_builders as builders
+from tests.utils import virtual_servers
 
 GOAL_S = 0.2
 
@@ -236,6 +244,20 @@
 # The rank of a request.
 
 
+# Guards against queries that wait for an aggregator without their workspace.
+def test_delegated_query_has_the_rank_of_its_request():
+    rank = build_rank("kami", 3, 2.0)
+    owner = types.SimpleNamespace(
+        goal_at=2.0,
+        request=types.SimpleNamespace(rank=rank),
+        route=builders.build_route(),
+    )
+    shared = types.SimpleNamespace(loop=virtual_servers.VirtualLoop())
+    query = delegation.Delegation(owner, shared, delegation.Group(None, ()), 1)
+    assert query.get_urgency(1.0) == send_order.Urgency(False, 2.0, rank)
+    assert query.get_urgency(2.0).is_late
+
+
 def compute_rank(name, *workspaces, route_priority=5):
     route = builders.build_route(priority=route_priority)
     by_key = {f"k-{workspace.name}": workspace for workspace in workspaces}
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -9,7 +9,8 @@
 import eventlet
 import pytest
 
-from corianderrill.platform import documents, store
+from corianderrill.gateway import delegation_messages
+from corianderrill.platform import documents, requests, store
 from tests.utils import aggregator_zones, gateway_rig
 
 KEY = "k-3f9a77c1"
@@ -234,8 +235,7 @@
 
 def watch_aggregator(zone, after):
     """Return the configurations that an aggregator sends to other hosts."""
-    ip, _, _ = zone.aggregator.gateway_address.partition(":")
-    connection = gateway_rig.connect(f"{ip}:{zone.port_range[0]}")
+    connection = gateway_rig.connect(zone.aggregation_address)
     query = f"after={after}&era={zone.rig.store.era}&wait_ms=2000"
     connection.request("GET", f"{store.WATCH_PATH}?{query}")
     events = json.loads(connection.getresponse().read())["events"]
@@ -330,3 +330,37 @@
             for server in rig.shard_servers:
                 found = find_identity_headers(server, request_id)
                 assert found == {"HTTP_X_TENANT": "kami"}
+
+
+# Guards against a host of another version that sends a key on, and against an
+# aggregator that takes a query for one without a workspace.
+def test_aggregator_sends_the_workspace_of_a_query_and_no_key(tmp_path):
+    with aggregator_zones.run(tmp_path) as zone:
+        rig = zone.rig
+        rig.publish_configuration(version=2, tenants=TENANTS)
+        rig.wait_until(lambda: send(zone.aggregator, "/gather/x", None) == 401)
+        headers = [
+            ("Host", gateway_rig.HOST),
+            ("X-Request-Id", "q-1"),
+            ("Authorization", f"Bearer {OTHER_KEY}"),
+            ("X-Tenant", "kami"),
+        ]
+        request = requests.build_inbound_request(
+            "GET", "/gather/x", headers, b"", 2.0, 0.0
+        )
+        terms = delegation_messages.Terms(
+            version=2,
+            shards=(0, 1, 2),
+            min_parts=2,
+            goal_s=1.0,
+            hedge_after_s=0.1,
+            may_delegate=False,
+        )
+        ip, _, port = zone.aggregation_address.partition(":")
+        with socket.create_connection((ip, int(port)), timeout=5.0) as sock:
+            sock.sendall(delegation_messages.render_query(request, terms, 2.0))
+            received = b""
+            while b"HTTP/1.1 200" not in received:
+                received += sock.recv(4096)
+        for server in rig.shard_servers:
+            assert find_identity_headers(server, "q-1") == {"HTTP_X_TENANT": "kami"}
--- a/tests/utils/aggregator_zones.py
+++ b/tests/utils/aggregator_zones.py
@@ -33,6 +33,12 @@
         self.rig.publish_configuration()
         self.rig.register_servers()
 
+    @property
+    def aggregation_address(self):
+        """The address at which the aggregator answers other hosts."""
+        ip, _, _ = self.aggregator.gateway_address.partition(":")
+        return f"{ip}:{self.port_range[0]}"
+
     def start(self):
         """Start the aggregator, and the other host once its slot is taken."""
         for host in self.rig.hosts:
