--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -1,5 +1,6 @@
 """End-to-end tests of gateway processes whose callers need a key."""
 
+import base64
 import contextlib
 import itertools
 import json
@@ -8,6 +9,8 @@
 import eventlet
 import pytest
 
+from corianderrill.gateway import delegation_messages
+from corianderrill.platform import documents, requests, store
 from tests.utils import aggregator_zones, gateway_rig
 
 KEY = "k-3f9a77c1"
@@ -230,6 +233,19 @@
                 pass
 
 
+def watch_aggregator(zone, after):
+    """Return the configurations that an aggregator sends to other hosts."""
+    connection = gateway_rig.connect(zone.aggregation_address)
+    query = f"after={after}&era={zone.rig.store.era}&wait_ms=2000"
+    connection.request("GET", f"{store.WATCH_PATH}?{query}")
+    events = json.loads(connection.getresponse().read())["events"]
+    return [
+        base64.b64decode(event["value"])
+        for event in events
+        if event["key"] == documents.CONFIGURATION_KEY
+    ]
+
+
 def test_refused_key_is_logged_with_its_reason(rig):
     send(rig, "/single/x", UNKNOWN_KEY, "q-1")
     _, records = read_records(rig)
@@ -266,10 +282,8 @@
 def test_request_that_waited_behind_others_names_them_in_the_log(rig):
     rig.single_server.delay_s = 1.5
     # More than this host has connections to the replica, which all are used up.
-    first = [
-        eventlet.spawn(send, rig, "/single/x", KEY, f"first-{n}") for n in range(6)
-    ]
-    rig.wait_until(lambda: "first-0" in rig.single_server.requests)
+    first = [eventlet.spawn(send, rig, "/single/x", KEY, f"hot-{n}") for n in range(6)]
+    rig.wait_until(lambda: any(map(is_hot, rig.single_server.requests)))
     eventlet.sleep(0.2)
     hurried = {"X-Deadline-Ms": "300"}
     assert send(rig, "/single/x", OTHER_KEY, "late", headers=hurried) == 503
@@ -294,9 +308,13 @@
         rig.publish_configuration(version=2, tenants=TENANTS, gather=PUBLIC)
         for host in rig.hosts:
             rig.wait_until(lambda host=host: send(host, "/single/x", None) == 401)
+        before = rig.store.revision
         rig.publish_configuration(version=3, tenants=TENANTS)
         for host in rig.hosts:
             rig.wait_until(lambda host=host: send(host, "/gather/x", None) == 401)
+        configurations = watch_aggregator(zone, before)
+        assert configurations
+        assert not any(key in str(configurations) for key in (KEY, OTHER_KEY))
         forged = {"X-Tenant": "anu"}
         ids = [f"q-{number}" for number in range(20)]
         for request_id in ids:
@@ -312,3 +330,37 @@
             for server in rig.shard_servers:
                 found = find_identity_headers(server, request_id)
                 assert found == {"HTTP_X_TENANT": "kami"}
+
+
+# Guards against a host of another version that sends a key on, and against an
+# aggregator that takes a query for one without a workspace.
+def test_aggregator_sends_the_workspace_of_a_query_and_no_key(tmp_path):
+    with aggregator_zones.run(tmp_path) as zone:
+        rig = zone.rig
+        rig.publish_configuration(version=2, tenants=TENANTS)
+        rig.wait_until(lambda: send(zone.aggregator, "/gather/x", None) == 401)
+        headers = [
+            ("Host", gateway_rig.HOST),
+            ("X-Request-Id", "q-1"),
+            ("Authorization", f"Bearer {OTHER_KEY}"),
+            ("X-Tenant", "kami"),
+        ]
+        request = requests.build_inbound_request(
+            "GET", "/gather/x", headers, b"", 2.0, 0.0
+        )
+        terms = delegation_messages.Terms(
+            version=2,
+            shards=(0, 1, 2),
+            min_parts=2,
+            goal_s=1.0,
+            hedge_after_s=0.1,
+            may_delegate=False,
+        )
+        ip, _, port = zone.aggregation_address.partition(":")
+        with socket.create_connection((ip, int(port)), timeout=5.0) as sock:
+            sock.sendall(delegation_messages.render_query(request, terms, 2.0))
+            received = b""
+            while b"HTTP/1.1 200" not in received:
+                received += sock.recv(4096)
+        for server in rig.shard_servers:
+            assert find_identity_headers(server, "q-1") == {"HTTP_X_TENANT": "kami"}
