--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -97,7 +97,10 @@
         self.progress = request_outcomes.Progress(self.sub_requests, required_count)
         self._latency_estimator = shared.get_latency_estimator(route)
         self._selector = replica_selector.build_selector(
-            shared, route, self._latency_estimator
+            shared,
+            route,
+            self._latency_estimator,
+            selected.configuration.find_workspace_regions(request.workspace),
         )
         self._sender = attempt_sender.AttemptSender(
             self, shared, selected.configuration.services, self._latency_estimator
--- a/corianderrill/gateway/routes.py
+++ b/corianderrill/gateway/routes.py
@@ -178,6 +178,13 @@
         """Return the workspace that holds a key."""
         return self.workspaces_by_key.get(digest_key(key))
 
+    def find_workspace_regions(
+        self, name: names.WorkspaceName
+    ) -> frozenset[names.RegionName]:
+        """Return the regions that a workspace allows; none if it allows any."""
+        workspace = self.workspaces_by_name.get(name)
+        return frozenset() if workspace is None else workspace.allowed_regions
+
     def select_route(self, host: str, path: str) -> "SelectedRoute | None":
         """Return the route of a request with this configuration; None without one."""
         route = self.find_route(host, path)
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -232,7 +232,12 @@
     ) -> responses.Response | None:
         route = selected.route
         services = self._target_selector.select_services(route)
-        refusal = self._availability.find_refusal(route, services, inbound.received_at)
+        refusal = self._availability.find_refusal(
+            route,
+            services,
+            inbound.received_at,
+            selected.configuration.find_workspace_regions(inbound.workspace),
+        )
         if refusal is not None:
             self._shared.quotas.give_back(admission)
             return self._refusals.refuse(
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -267,3 +267,14 @@
     assert configuration.routes[0].is_public
     assert configuration.routes[0].allowed_regions == {"lima"}
     assert configuration.services["one"].warmup_requests_per_s == 8.0
+
+
+def test_regions_of_a_workspace_are_found_by_its_name():
+    tenants = [
+        {"name": "kami770", "api_keys": ["k-1"], "allowed_regions": ["lima"]},
+        {"name": "anu", "api_keys": ["k-2"]},
+    ]
+    configuration = decode_configuration(tenants=tenants)
+    assert configuration.find_workspace_regions("kami770") == {"lima"}
+    assert configuration.find_workspace_regions("anu") == frozenset()
+    assert configuration.find_workspace_regions("") == frozenset()
