--- a/corianderrill/gateway/quota_client.py
+++ b/corianderrill/gateway/quota_client.py
@@ -22,7 +22,7 @@
     quota_ledger,
     quota_messages,
     quota_records,
-    send_queue,
+    send_order,
 )
 
 # Requests that come while so many messages are on their way wait for the next one.
@@ -375,9 +375,9 @@
 
     # Callbacks of the connection.
 
-    def get_urgency(self, now: float) -> send_queue.Urgency:
+    def get_urgency(self, now: float) -> send_order.Urgency:
         """Return a rank before all queries for the same host."""
-        return send_queue.Urgency(False, now)
+        return send_order.Urgency(False, now)
 
     def render(self) -> bytes:
         """Return the bytes of the message. A lease counts from now."""
--- a/corianderrill/gateway/routes.py
+++ b/corianderrill/gateway/routes.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 import enum
+import hashlib
 import math
-from collections.abc import Mapping
+import statistics
+from collections.abc import Iterable, Mapping
 from typing import NewType
 
 from corianderrill import names
@@ -12,6 +14,10 @@
 ConfigurationVersion = NewType("Version", int)
 # A secret of the callers of a workspace. It is in no log line, metric or message.
 WorkspaceKey = NewType("WorkspaceKey", str)
+# Stands for a key in what is kept and sent. No caller can use it in place of the key.
+KeyDigest = NewType("KeyDigest", str)
+
+KEY_DIGEST_BYTES = 16
 
 COVERAGE_TOLERANCE = 1e-9
 
@@ -128,6 +134,15 @@
     allowed_regions: frozenset[names.RegionName] = frozenset()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedKeys:
+    """Two workspaces that have `count` keys in common, of which `holder` keeps them."""
+
+    holder: names.WorkspaceName
+    other: names.WorkspaceName
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Limits on the requests of callers and on their idle connections."""
@@ -149,13 +164,19 @@
     routes_by_host: Mapping[str, Mapping[str, Route]]
     # Without workspaces, callers need no key.
     has_workspaces: bool = False
-    workspaces_by_key: Mapping[WorkspaceKey, Workspace] = dataclasses.field(
+    workspaces_by_key: Mapping[KeyDigest, Workspace] = dataclasses.field(
         default_factory=dict
     )
+    workspaces_by_name: Mapping[names.WorkspaceName, Workspace] = dataclasses.field(
+        default_factory=dict
+    )
+    # Over the workspaces with a limit; None without any.
+    mean_workspace_requests_per_s: float | None = None
+    shared_keys: tuple[SharedKeys, ...] = ()
 
     def find_workspace(self, key: WorkspaceKey) -> Workspace | None:
         """Return the workspace that holds a key."""
-        return self.workspaces_by_key.get(key)
+        return self.workspaces_by_key.get(digest_key(key))
 
     def select_route(self, host: str, path: str) -> "SelectedRoute | None":
         """Return the route of a request with this configuration; None without one."""
@@ -188,12 +209,19 @@
     route: Route
 
 
+def digest_key(key: WorkspaceKey) -> KeyDigest:
+    """Return the digest that stands for a key."""
+    digest = hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES)
+    return KeyDigest(digest.hexdigest())
+
+
 def build_configuration(
     version: ConfigurationVersion,
     routes: tuple[Route, ...],
     services: tuple[Service, ...],
     limits: CallerLimits,
-    workspaces_by_key: Mapping[WorkspaceKey, Workspace] | None = None,
+    workspaces_by_key: Mapping[KeyDigest, Workspace] | None = None,
+    shared_keys: tuple[SharedKeys, ...] = (),
 ) -> Configuration:
     """Return a configuration with the index that `find_route` uses.
 
@@ -202,6 +230,10 @@
     routes_by_host: dict[str, dict[str, Route]] = {}
     for route in routes:
         routes_by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+    workspaces_by_name = {
+        workspace.name: workspace
+        for workspace in reversed((workspaces_by_key or {}).values())
+    }
     services_by_name = {service.name: service for service in services}
     return Configuration(
         version,
@@ -211,4 +243,12 @@
         routes_by_host,
         workspaces_by_key is not None,
         workspaces_by_key or {},
+        workspaces_by_name,
+        _compute_mean_rate(workspaces_by_name.values()),
+        shared_keys,
     )
+
+
+def _compute_mean_rate(workspaces: Iterable[Workspace]) -> float | None:
+    rates_per_s = [w.requests_per_s for w in workspaces if w.requests_per_s is not None]
+    return statistics.fmean(rates_per_s) if rates_per_s else None
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -3,6 +3,8 @@
 The `_Wire` structs have the field names of the stored JSON.
 """
 
+import collections
+import functools
 import re
 from collections.abc import Sequence
 from typing import Annotated, Literal
@@ -73,6 +75,8 @@
 class _WireWorkspace(msgspec.Struct):
     name: str
     api_keys: list[str] = []
+    # In place of keys, where another host has sent the configuration.
+    api_key_digests: list[str] = []
     priority: int = 0
     # 0 means no limit, for both.
     rate_per_s: float = 0.0
@@ -160,7 +164,7 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
-        _convert_workspaces(document.tenants),
+        *_convert_workspaces(document.tenants),
     )
 
 
@@ -175,16 +179,54 @@
 
 def _convert_workspaces(
     tenants: Sequence[_WireWorkspace] | None,
-) -> dict[routes.WorkspaceKey, routes.Workspace] | None:
-    """Return the workspaces by key; the first of two holds a key of both."""
+) -> tuple[
+    dict[routes.KeyDigest, routes.Workspace] | None, tuple[routes.SharedKeys, ...]
+]:
+    """Return the workspaces by key, and which of them have keys in common.
+
+    The first of two workspaces holds a key of both.
+    """
     if tenants is None:
-        return None
-    workspaces_by_key: dict[routes.WorkspaceKey, routes.Workspace] = {}
+        return None, ()
+    workspaces_by_key: dict[routes.KeyDigest, routes.Workspace] = {}
+    shared: collections.Counter[tuple[names.WorkspaceName, names.WorkspaceName]]
+    shared = collections.Counter()
     for tenant in tenants:
         workspace = _convert_workspace(tenant)
-        for key in tenant.api_keys:
-            workspaces_by_key.setdefault(routes.WorkspaceKey(key), workspace)
-    return workspaces_by_key
+        for digest in _list_digests(tenant):
+            holder = workspaces_by_key.setdefault(digest, workspace)
+            if holder is not workspace:
+                shared[holder.name, workspace.name] += 1
+    return workspaces_by_key, tuple(
+        routes.SharedKeys(holder, other, count)
+        for (holder, other), count in shared.items()
+    )
+
+
+def _list_digests(tenant: _WireWorkspace) -> list[routes.KeyDigest]:
+    return [
+        *map(routes.digest_key, map(routes.WorkspaceKey, tenant.api_keys)),
+        *map(routes.KeyDigest, tenant.api_key_digests),
+    ]
+
+
+@functools.lru_cache(maxsize=2)
+def withhold_keys(value: bytes) -> bytes:
+    """Return the value of a configuration with digests in place of its keys.
+
+    It is empty if the configuration is invalid, since it may hold keys all the same.
+    """
+    try:
+        document = _decode(_CONFIGURATION_DECODER, value)
+    except DocumentError:
+        return b""
+    if not document.tenants:
+        return value
+    fields = msgspec.json.decode(value)
+    for tenant, tenant_fields in zip(document.tenants, fields["tenants"], strict=True):
+        tenant_fields.pop("api_keys", None)
+        tenant_fields["api_key_digests"] = _list_digests(tenant)
+    return msgspec.json.encode(fields)
 
 
 def _convert_workspace(tenant: _WireWorkspace) -> routes.Workspace:
@@ -195,7 +237,7 @@
     return routes.Workspace(
         name=names.WorkspaceName(tenant.name),
         priority=tenant.priority,
-        requests_per_s=tenant.rate_per_s or None,
+        requests_per_s=tenant.rate_per_s if tenant.rate_per_s > 0 else None,
         burst=tenant.burst,
         allowed_regions=_convert_regions(tenant.allowed_regions),
     )
--- a/tests/utils/virtual_quotas.py
+++ b/tests/utils/virtual_quotas.py
@@ -41,7 +41,9 @@
 
 
 def build_configuration(workspaces, version=1):
-    by_key = {routes.WorkspaceKey(f"k-{w.name}"): w for w in workspaces}
+    by_key = {
+        routes.digest_key(routes.WorkspaceKey(f"k-{w.name}")): w for w in workspaces
+    }
     return routes.build_configuration(
         routes.ConfigurationVersion(version), (), (), routes.CallerLimits(), by_key
     )
