--- a/corianderrill/gateway/quotas.py
+++ b/corianderrill/gateway/quotas.py
@@ -137,10 +137,6 @@
     client: quota_client.QuotaClient = dataclasses.field(init=False)
     lessor: quota_lessor.QuotaLessor = dataclasses.field(init=False)
     _configuration: routes.Configuration | None = None
-    _workspaces: dict[names.WorkspaceName, routes.Workspace] = dataclasses.field(
-        default_factory=dict
-    )
-    _is_needed: bool = False
     _has_seen_lessor: bool = False
     _cleaned_at: float = -math.inf
 
@@ -179,22 +175,18 @@
         if self.bounds is None:
             return False
         self._read_configuration()
-        return self._is_needed
+        configuration = self._configuration
+        return (
+            configuration is not None
+            and configuration.mean_workspace_requests_per_s is not None
+        )
 
     def _read_configuration(self) -> None:
         configuration = self.view.configuration
         if configuration is self._configuration:
             return
         self._configuration = configuration
-        self._workspaces = {
-            workspace.name: workspace
-            for workspace in configuration.workspaces_by_key.values()
-        }
-        self._is_needed = any(
-            workspace.requests_per_s is not None
-            for workspace in self._workspaces.values()
-        )
-        workspaces = set(self._workspaces)
+        workspaces = set(configuration.workspaces_by_name)
         self.placement.retain(workspaces)
         self.lessor.retain(workspaces)
 
@@ -206,7 +198,9 @@
         Return None if it has none. Raise KeyError if the workspace is unknown.
         """
         self._read_configuration()
-        found = self._workspaces[workspace]
+        if self._configuration is None:
+            raise KeyError(workspace)
+        found = self._configuration.workspaces_by_name[workspace]
         return (
             None if self.bounds is None else quota_terms.build_terms(found, self.bounds)
         )
