Run the test files side by side in make test

The whole suite takes over ten minutes in one process, most of it spent waiting for real processes. Each file runs in a pytest process of its own, one for two cores, the largest files first. pytest-xdist hung here for 25 minutes: its workers read from pipes in threads, which eventlet's patched modules do not allow.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(RUN) ruff check --fix $(SOURCES)
 
 test: check
-	$(RUN) pytest
+	$(VENV)/bin/python extras/test_groups.py
 
 measure: install
 	$(RUN) benchmarks.measure $(SCENARIO) $(if $(SEEDS),--seeds $(SEEDS)) $(if $(SECONDS),--seconds $(SECONDS))
