--- a/corianderrill/gateway/quota_ledger.py
+++ b/corianderrill/gateway/quota_ledger.py
@@ -30,7 +30,7 @@
 MIN_LEASED_DEMAND = 0.5
 SPARE_SHARE = 0.75
 # The lessor itself uses at most this share of what the leases may allow.
-OVERDRAFT_SHARE = 0.5
+OVERDRAFT_SHARE = 0.75
 # Below this many requests of a host in a half-life, its record is dropped.
 MIN_DEMAND = 0.01
 PRUNE_INTERVAL_S = 20.0
--- a/corianderrill/gateway/quota_terms.py
+++ b/corianderrill/gateway/quota_terms.py
@@ -1,9 +1,10 @@
 """What the quota of a workspace allows over all hosts, and how that is divided.
 
 In each window, all hosts together may execute `requests_per_s` times the window and
-`burst` requests, and `excess` more. The excess pays for what the hosts can't know of
-each other: the requests that a former quota lessor admitted, and those that hosts admit
-without asking.
+`burst` requests, and `excess` more. The quota is divided between the bucket of the
+quota lessor and the quota leases. The excess pays for what the hosts can't know of each
+other: the requests that a former quota lessor admitted, and more of those that hosts
+admit without asking.
 """
 
 import dataclasses
@@ -17,6 +18,10 @@
 # quota lessor holds above the burst, and what it earns in a window above the rate.
 START_SHARE = 0.2
 LOCAL_SHARE = 0.45
+# The share of the quota itself that is lent in quota leases. A host that is cut off from
+# the quota lessor has only its lease, so the leases have to cover most of the usual
+# demand; the rest is for demand that moves faster than leases do.
+LEASED_QUOTA_SHARE = 0.35
 # How long a quota lease lasts, from the sending of the host's message.
 LEASE_S = 10.0
 # A new quota lessor has one token at once, and earns the others.
@@ -35,17 +40,20 @@
     @property
     def capacity(self) -> float:
         """How many tokens the bucket of the quota lessor holds."""
-        return max(self.burst, 1.0) + START_SHARE * self.excess
+        burst = (1.0 - LEASED_QUOTA_SHARE) * self.burst
+        return max(burst, 1.0) + START_SHARE * self.excess
 
     @property
     def refill_per_s(self) -> float:
         """How many tokens the bucket of the quota lessor earns in a second."""
-        return self.requests_per_s + START_SHARE * self.excess / self.window_s
+        per_s = (1.0 - LEASED_QUOTA_SHARE) * self.requests_per_s
+        return per_s + START_SHARE * self.excess / self.window_s
 
     @property
     def leased(self) -> int:
         """How many requests a window all quota leases together allow."""
-        return math.floor(LOCAL_SHARE * self.excess)
+        quota = self.requests_per_s * self.window_s + self.burst
+        return math.floor(LOCAL_SHARE * self.excess + LEASED_QUOTA_SHARE * quota)
 
 
 def build_terms(
