Take no reply whose status line holds no status

The parser takes any three digits, and HTTP/2.0 and HTTP/0.9. A reply with 000, 001 or 099 passed for an interim one: the attempt waited to its end and the connection stayed in use; 600 and 999 went to the caller. The store's client used a connection again after such a reply, and took interim replies other than 100 for final ones.

A status outside 100 to 599, 101, or another version is now malformed, so the attempt fails at once, counts against the replica, and closes its connection: requests to one service, parts, and the hop to an aggregator have the same reader. A call to the store fails as without a reply, and closes the connection.

--- a/corianderrill/gateway/reply_reader.py
+++ b/corianderrill/gateway/reply_reader.py
@@ -16,6 +16,10 @@
 MAX_REPLY_BODY_BYTES = 4 * 1_048_576
 # Interim replies, chunk headers and replies to other requests count as well.
 MAX_EXCHANGE_BYTES = MAX_REPLY_HEAD_BYTES + 2 * MAX_REPLY_BODY_BYTES
+# The parser takes any three digits, and versions that frame replies in other ways.
+STATUSES = range(100, 600)
+SWITCHING_PROTOCOLS = 101
+VERSIONS = ("1.0", "1.1")
 
 
 class Progress(enum.Enum):
@@ -51,6 +55,7 @@
         self._has_headers = False
         self._is_body_delimited = False
         self._is_complete = False
+        self._is_malformed = False
         self.received_bytes = 0
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
@@ -72,6 +77,8 @@
             self.is_reusable = False
         if self._is_complete:
             return Progress.COMPLETE
+        if self._is_malformed:
+            return Progress.MALFORMED
         return Progress.TOO_LARGE if self._is_too_large() else Progress.INCOMPLETE
 
     def _is_too_large(self) -> bool:
@@ -111,14 +118,17 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header of the reply."""
-        if not self._is_complete and len(self.headers) <= MAX_REPLY_HEADERS:
+        if not self._is_ended and len(self.headers) <= MAX_REPLY_HEADERS:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Determine whether the headers delimit the body, by length or by chunks."""
-        if self._is_complete:
+        if self._is_ended:
             return
         self.status = self._parser.get_status_code()
+        if not self._has_valid_status_line():
+            self._is_malformed = True
+            return
         header_fields = dict(self.headers)
         self._is_body_delimited = (
             b"content-length" in header_fields
@@ -126,9 +136,22 @@
         )
         self._has_headers = True
 
+    @property
+    def _is_ended(self) -> bool:
+        """Return whether what follows is no part of the reply."""
+        return self._is_complete or self._is_malformed
+
+    def _has_valid_status_line(self) -> bool:
+        # No request asks for another protocol.
+        return (
+            self.status in STATUSES
+            and self.status != SWITCHING_PROTOCOLS
+            and self._parser.get_http_version() in VERSIONS
+        )
+
     def on_body(self, body: bytes) -> None:
         """Store a piece of the body."""
-        if not self._is_complete:
+        if not self._is_ended:
             self._body += body
 
     def on_message_complete(self) -> None:
@@ -137,7 +160,7 @@
         It is after an interim (1xx) response, and after a reply to an earlier request,
         which a server may have sent a second time.
         """
-        if self._is_complete:
+        if self._is_ended:
             return
         is_interim = self.status < 200
         if is_interim or not self._owner.owns_reply(self.headers):
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -34,6 +34,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# The HTTP client skips status 100 only, and takes other interim replies for final ones.
+FINAL_STATUSES = range(200, 600)
 # No key begins with it, so a range read of it returns only the store's revision.
 EMPTY_PREFIX = "~"
 # In all replies of the store, and in those of an aggregator in its place.
@@ -446,8 +448,11 @@
 
 
 def _read_body(reply: urllib3.BaseHTTPResponse) -> bytes:
-    """Return the body; close the connection of one that is too large."""
+    """Return the body; close the connection of one that is no reply or too large."""
     try:
+        if reply.status not in FINAL_STATUSES:
+            # As for a status line that the HTTP client can't read.
+            raise StoreError(FailureKind.UNREACHABLE, f"status {reply.status}")
         body = reply.read(MAX_BODY_BYTES + 1)
         if len(body) > MAX_BODY_BYTES:
             raise StoreError(FailureKind.MALFORMED, "the reply is too large")
