Take no status report of a server from a reply without a status

The health check decoded the body of any reply and kept its connection for use, after an interim reply too. A status other than 200 is now no report, and a connection that carried a reply without a final status is closed; so it is for sub-requests.

--- a/corianderrill/backends.py
+++ b/corianderrill/backends.py
@@ -26,6 +26,7 @@
 SUB_QUERY_PATH = "/v1/sub-query"
 CANCEL_PATH = "/v1/cancel"
 STATUS_PATH = "/v1/status"
+FINAL_STATUSES = range(200, 600)
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -155,9 +156,16 @@
         try:
             with eventlet.timeout.Timeout(timeout_s):
                 response = self._get_pool(server).urlopen(
-                    "GET", STATUS_PATH, retries=False, pool_timeout=POOL_TIMEOUT_S
+                    "GET",
+                    STATUS_PATH,
+                    retries=False,
+                    preload_content=False,
+                    pool_timeout=POOL_TIMEOUT_S,
                 )
-                return _decode_status(response.data)
+                reply = _read_reply(response)
+                if reply.status != replies.STATUS_OK:
+                    return None
+                return _decode_status(reply.body)
         except (
             eventlet.timeout.Timeout,
             urllib3.exceptions.HTTPError,
@@ -259,8 +267,14 @@
 def _read_reply(response: urllib3.BaseHTTPResponse) -> replies.HttpReply:
     """Read a body of bounded size.
 
-    The connection returns to its pool only after a complete body.
+    The connection returns to its pool only after a complete body, and not after an
+    interim reply, which the HTTP client takes for a final one, or after no status.
     """
+    if response.status not in FINAL_STATUSES:
+        # Before the body is read: its end returns the connection to the pool.
+        response.close()
+        response.release_conn()
+        return replies.HttpReply(response.status, b"")
     length_header = response.headers.get("Content-Length")
     content_length = (
         int(length_header) if length_header and length_header.isdigit() else None
--- a/tests/test_gateway_invalid_statuses.py
+++ b/tests/test_gateway_invalid_statuses.py
@@ -1,14 +1,15 @@
 """Replies whose status line holds no status: none of them is an answer."""
 
 import contextlib
+import dataclasses
 
 import eventlet
 import pytest
 
-from corianderrill import names
+from corianderrill import backends, names
 from corianderrill.gateway import connections
 from corianderrill.platform import store
-from tests.utils import gateway_rig, scripted_servers
+from tests.utils import gateway_rig, hosts, scripted_servers
 
 INVALID_STATUSES = ("000", "001", "099", "600", "999")
 # Versions of the protocol that no server of this platform speaks.
@@ -147,3 +148,20 @@
         assert error.value.kind is store.FailureKind.UNREACHABLE
         assert client.probe_revision().revision == 1
         assert len(accepted) == 2
+
+
+# Guards against a health check that takes a reply without a status for a report.
+@pytest.mark.parametrize("status", [*INVALID_STATUSES, "102"])
+def test_health_check_takes_no_report_without_a_status(status):
+    report = b'{"load":0.0,"healthy":true,"draining":false,"held":[1,2]}'
+    length = b"\r\nContent-Length: %d\r\n\r\n" % len(report)
+    odd = scripted_servers.script_replies(
+        f"HTTP/1.1 {status} Odd".encode() + length + report
+    )
+    sound = scripted_servers.script_replies(b"HTTP/1.1 200 OK" + length + report)
+    checks = backends.BackendPools(lambda _: 1)
+    with scripted_servers.serve(odd, sound) as pool, eventlet.Timeout(AT_ONCE_S):
+        server = dataclasses.replace(hosts.build_backend_server(), address=pool.address)
+        assert checks.fetch_status(server, AT_ONCE_S) is None
+        # Read on a connection of its own.
+        assert checks.fetch_status(server, AT_ONCE_S) is not None
