--- a/corianderrill/gateway/caller_input.py
+++ b/corianderrill/gateway/caller_input.py
@@ -29,6 +29,13 @@
 # Greater sizes are beyond any limit; leading zeros are allowed.
 _MAX_SIZE_DIGITS = 16
 _LINE_ENDS = (b"\r\n", b"\n")
+# By the line without its line feed. Most of the time for chunks of few bytes goes into
+# their framing, so these have a shorter way.
+_SHORT_SIZES = {
+    line % size: size for size in range(1, 256) for line in (b"%x\r", b"%X\r")
+}
+_SHORT_SIZE_LINE_BYTES = 4
+_SHORT_CHUNKS_BYTES = 8_192
 
 
 class Progress(enum.Enum):
@@ -110,11 +117,19 @@
         """Append received bytes."""
         self._bytes += data
 
+    def peek(self, max_bytes: int) -> bytes:
+        """Return the next bytes, at most `max_bytes`, and keep them."""
+        return bytes(self._bytes[:max_bytes])
+
+    def skip(self, count: int) -> None:
+        """Remove the next bytes."""
+        del self._bytes[:count]
+        self._searched = 0
+
     def take(self, max_bytes: int) -> bytearray:
         """Remove and return the next bytes, at most `max_bytes`."""
         taken = self._bytes[:max_bytes]
-        del self._bytes[:max_bytes]
-        self._searched = 0
+        self.skip(max_bytes)
         return taken
 
     def take_line(self, max_bytes: int) -> bytes | None:
@@ -263,7 +278,7 @@
         """Read one line, or a part of a chunk; return False if it needs more bytes."""
         match self._part:
             case _ChunkPart.SIZE:
-                return self._read_size(buffer)
+                return self._read_short_chunks(buffer) or self._read_size(buffer)
             case _ChunkPart.DATA:
                 return self._read_data(buffer)
             case _ChunkPart.DATA_END:
@@ -271,6 +286,31 @@
             case _:
                 return self._read_trailer(buffer)
 
+    def _read_short_chunks(self, buffer: Buffer) -> bool:
+        """Read whole chunks of few bytes without extensions; return if there are any.
+
+        Others are left for the general way.
+        """
+        data = buffer.peek(_SHORT_CHUNKS_BYTES)
+        pieces = []
+        position = 0
+        while True:
+            line_end = data.find(b"\n", position, position + _SHORT_SIZE_LINE_BYTES)
+            if line_end < 0:
+                break
+            size = _SHORT_SIZES.get(data[position:line_end])
+            if size is None or size > self._left_bytes:
+                break
+            end = line_end + 1 + size
+            if data[end : end + 2] != b"\r\n":
+                break
+            pieces.append(data[line_end + 1 : end])
+            self._left_bytes -= size
+            position = end + 2
+        self.body += b"".join(pieces)
+        buffer.skip(position)
+        return bool(pieces)
+
     def _read_size(self, buffer: Buffer) -> bool:
         line = _take_line(buffer, MAX_CHUNK_LINE_BYTES)
         if line is None:
--- a/corianderrill/gateway/caller_stream.py
+++ b/corianderrill/gateway/caller_stream.py
@@ -17,7 +17,7 @@
 
 RECEIVE_BYTES = 32_768
 # Received without a pause, before other connections get their turn.
-MAX_BYTES_AT_ONCE = 131_072
+MAX_BYTES_AT_ONCE = 32_768
 # For a caller that stalls while it sends a body or reads an answer.
 STALL_TIMEOUT_S = 60.0
 # Beyond that time, a body has to come, and an answer to be read, at this average.
