--- a/corianderrill/gateway/caller_connections.py
+++ b/corianderrill/gateway/caller_connections.py
@@ -28,9 +28,7 @@
 # Accepted in the moment before another connection is closed in their favour.
 MAX_SURPLUS_CONNECTIONS = 4
 
-# `caller_input` bounds the head before the libraries see it.
-wsgi.MAX_HEADER_LINE = caller_input.MAX_HEADER_LINE_BYTES + 1
-wsgi.MAX_TOTAL_HEADER_SIZE = 1 << 62
+# `caller_input` bounds the head before the library sees it.
 http.client._MAXHEADERS = caller_input.MAX_HEADER_LINES
 
 _LENGTH = re.compile(r"[0-9]{1,18}")
