Share the body of a request between its unsent copies

Each connection to a replica kept a copy of what was not sent yet, so a large body of a query over many shards took its size for each of them. Only the rendered head differs; the rest is now a view of the one body.

--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -77,6 +77,11 @@
         self.idempotent = owner.is_idempotent
         self.used_limit = False
 
+    @property
+    def body(self) -> bytes:
+        """Return the body of the request, which its attempts share."""
+        return self.owner.request.body
+
     def render(self) -> bytes:
         """Return the bytes of the request, with its remaining time as the deadline."""
         remaining_s = self.owner.deadline_at - self.owner.loop.now()
--- a/corianderrill/gateway/connections.py
+++ b/corianderrill/gateway/connections.py
@@ -72,9 +72,13 @@
 
 
 class OutboundRequest(send_queue.QueuedRequest, reply_reader.ReplyOwner, Protocol):
-    """A request to send, and the callbacks for its result."""
+    """A request to send, and the callbacks for its result.
+
+    `body` ends what is rendered; the requests to the shards of a query share it.
+    """
 
     idempotent: bool
+    body: bytes
 
     def may_send(self) -> bool:
         """Return whether the server still wants the request, just before it is sent."""
@@ -126,7 +130,7 @@
         self._owner = owner
         self._request: OutboundRequest | None = request
         self._hub = hubs.get_hub()
-        self._unsent_bytes = b""
+        self._unsent_bytes: bytes | memoryview = b""
         self._read_listener = None
         self._write_listener = None
         self._state = _State.CONNECTING
@@ -213,11 +217,7 @@
         except OSError:
             self._fail(Failure.RESET)
             return
-        self._unsent_bytes = (
-            self._unsent_bytes[sent_bytes:]
-            if sent_bytes < len(self._unsent_bytes)
-            else b""
-        )
+        self._keep_unsent(len(self._unsent_bytes) - sent_bytes)
         if not self._unsent_bytes:
             self._remove_write_listener()
         elif self._write_listener is None:
@@ -225,6 +225,15 @@
                 self._hub.WRITE, self._on_writable
             )
 
+    def _keep_unsent(self, count: int) -> None:
+        """Keep the last `count` bytes of the request, without a copy of its body."""
+        if count == 0:
+            self._unsent_bytes = b""
+            return
+        body = self._request.body
+        source = body if count <= len(body) else self._unsent_bytes
+        self._unsent_bytes = memoryview(source)[len(source) - count :]
+
     def _remove_write_listener(self) -> None:
         if self._write_listener is not None:
             self._hub.remove(self._write_listener)
--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -140,6 +140,11 @@
         """Return the rank among the queries queued for the same aggregator."""
         return send_queue.Urgency(now >= self._owner.goal_at, self._owner.goal_at)
 
+    @property
+    def body(self) -> bytes:
+        """Return the body of the query."""
+        return self._owner.request.body
+
     def render(self) -> bytes:
         """Return the bytes of the query, with its remaining times."""
         now = self._shared.loop.now()
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -269,6 +269,44 @@
         assert count_kept() < 200_000
 
 
+def read_nothing(connection):
+    eventlet.sleep(servers.TIMEOUT_S)
+
+
+# Guards against hosts that run out of memory by a query with a large body, of which
+# each connection to one of its many shards kept a copy until it was sent.
+def test_unsent_requests_share_their_body():
+    body = b"a" * 20_000_000
+    with (
+        measure_kept_bytes() as count_kept,
+        servers.serve(read_nothing, read_nothing) as pool,
+    ):
+        sent = [servers.send(pool, body=body) for _ in range(2)]
+        eventlet.sleep(SETTLE_S)
+        assert pool.opened_count == 2
+        assert count_kept() < len(body) / 4
+        for request in sent:
+            request.connection.abort(request)
+
+
+def test_body_that_is_sent_in_parts_arrives_whole():
+    body = bytes(range(250)) * 40_000
+    received = bytearray()
+
+    def script(connection):
+        eventlet.sleep(SETTLE_S)
+        while not received.endswith(b"end"):
+            received.extend(connection.recv(65_536))
+        connection.sendall(servers.REPLY)
+
+    with servers.serve(script) as pool:
+        request = servers.send(
+            pool, request_bytes=b"POST / HTTP/1.1\r\n\r\n", body=body + b"end"
+        )
+        assert request.wait().status == 200
+    assert bytes(received) == b"POST / HTTP/1.1\r\n\r\n" + body + b"end"
+
+
 # Guards against idle connections that each keep the last reply in memory.
 def test_idle_connection_does_not_keep_its_last_reply():
     reply = build_reply(b"q", b"a" * 2_000_000)
--- a/tests/utils/scripted_servers.py
+++ b/tests/utils/scripted_servers.py
@@ -18,12 +18,17 @@
     """An outbound request that records its connection and its result."""
 
     def __init__(
-        self, idempotent=True, request_bytes=b"GET / HTTP/1.1\r\n\r\n", goal_at=0.0
+        self,
+        idempotent=True,
+        request_bytes=b"GET / HTTP/1.1\r\n\r\n",
+        goal_at=0.0,
+        body=b"",
     ):
         self.idempotent = idempotent
         self.is_wanted = True
         self.goal_at = goal_at
         self.request_bytes = request_bytes
+        self.body = body
         self.connection = None
         self.was_sent = False
         self.interim_replies = 0
@@ -33,7 +38,7 @@
         return send_queue.Urgency(False, self.goal_at)
 
     def render(self):
-        return self.request_bytes
+        return self.request_bytes + self.body
 
     def on_send_start(self):
         self.was_sent = True
