--- a/corianderrill/gateway/caller_input.py
+++ b/corianderrill/gateway/caller_input.py
@@ -35,7 +35,7 @@
     line % size: size for size in range(1, 256) for line in (b"%x\r", b"%X\r")
 }
 _SHORT_SIZE_LINE_BYTES = 4
-_SHORT_CHUNKS_BYTES = 8_192
+_SHORT_CHUNKS_BYTES = 3_000
 
 
 class Progress(enum.Enum):
@@ -266,16 +266,18 @@
 
     def read(self, buffer: Buffer) -> Progress:
         """Read on. Raise InputError if the body is malformed or beyond a limit."""
-        for _ in range(MAX_LINES_AT_ONCE):
-            has_advanced = self._read_part(buffer)
+        line_count = 0
+        while line_count < MAX_LINES_AT_ONCE:
+            count = self._read_part(buffer)
             if self._part is _ChunkPart.END:
                 return Progress.COMPLETE
-            if not has_advanced:
+            if not count:
                 return Progress.NEEDS_BYTES
+            line_count += count
         return Progress.PAUSED
 
-    def _read_part(self, buffer: Buffer) -> bool:
-        """Read one line, or a part of a chunk; return False if it needs more bytes."""
+    def _read_part(self, buffer: Buffer) -> int:
+        """Read lines or chunks; return their number, 0 if more bytes are needed."""
         match self._part:
             case _ChunkPart.SIZE:
                 return self._read_short_chunks(buffer) or self._read_size(buffer)
@@ -286,8 +288,8 @@
             case _:
                 return self._read_trailer(buffer)
 
-    def _read_short_chunks(self, buffer: Buffer) -> bool:
-        """Read whole chunks of few bytes without extensions; return if there are any.
+    def _read_short_chunks(self, buffer: Buffer) -> int:
+        """Read whole chunks of few bytes without extensions; return their number.
 
         Others are left for the general way.
         """
@@ -309,7 +311,7 @@
             position = end + 2
         self.body += b"".join(pieces)
         buffer.skip(position)
-        return bool(pieces)
+        return len(pieces)
 
     def _read_size(self, buffer: Buffer) -> bool:
         line = _take_line(buffer, MAX_CHUNK_LINE_BYTES)
