--- a/corianderrill/gateway/caller_connections.py
+++ b/corianderrill/gateway/caller_connections.py
@@ -190,10 +190,10 @@
             self._must_linger = not self._input.is_read
             self._input = None
 
-    def _on_unread(self, error: OSError, unsent_bytes: int) -> None:
+    def _on_unread(self, error: OSError, output_bytes: int) -> None:
         self.close_connection = True
         reason = type(error).__name__
-        self._shared.log.record(caller_log.AnswerUnread(reason, unsent_bytes))
+        self._shared.log.record(caller_log.AnswerUnread(reason, output_bytes))
 
     def evict(self, reason: caller_resources.Reason) -> None:
         """End this connection, which may be waiting for its caller."""
--- a/corianderrill/gateway/caller_log.py
+++ b/corianderrill/gateway/caller_log.py
@@ -26,7 +26,10 @@
 
 
 class AnswerUnread(msgspec.Struct, tag="answer-unread", tag_field="event"):
-    """A caller did not read its whole answer, of which `unsent_bytes` are left."""
+    """A caller did not read the whole of an answer, or of a part of it.
+
+    `output_bytes` is the length of what it did not read whole.
+    """
 
     reason: str
-    unsent_bytes: int
+    output_bytes: int
--- a/corianderrill/gateway/caller_resources.py
+++ b/corianderrill/gateway/caller_resources.py
@@ -96,8 +96,9 @@
     """The memory that the connections of callers and of other hosts hold together.
 
     Beyond the limit, the connection that holds most ends. A connection whose request is
-    being served does not: the request may have run. `min_limit_bytes` is the greatest
-    request that has to fit.
+    being served does not: the request may have run; nor does the only one that holds
+    much. `get_min_limit_bytes` returns the size of the greatest request or reply, which
+    has to fit.
     """
 
     def __init__(
@@ -136,7 +137,8 @@
             if self.charged_bytes <= self._get_min_limit_bytes():
                 return
             victim = self._find_largest()
-            if victim is None:
+            if victim is None or victim.charged_bytes == self.charged_bytes:
+                # One request, or one answer, is bounded by limits of its own.
                 return
             self.evict(victim, Reason.MEMORY)
 
--- a/corianderrill/gateway/caller_servers.py
+++ b/corianderrill/gateway/caller_servers.py
@@ -8,6 +8,7 @@
     caller_connections,
     caller_log,
     caller_resources,
+    reply_reader,
     routes,
     shared_state,
 )
@@ -29,9 +30,12 @@
         configuration = shared.view.configuration
         return routes.CallerLimits() if configuration is None else configuration.limits
 
-    def get_greatest_request_bytes() -> int:
+    def get_greatest_message_bytes() -> int:
         caller_limits = get_caller_limits()
-        return caller_limits.max_header_bytes + caller_limits.max_body_bytes
+        return max(
+            caller_limits.max_header_bytes + caller_limits.max_body_bytes,
+            reply_reader.MAX_REPLY_BODY_BYTES,
+        )
 
     def record_eviction(
         reason: caller_resources.Reason, stage: caller_resources.Stage, held_bytes: int
@@ -44,7 +48,7 @@
         )
 
     memory = caller_resources.InputMemory(
-        limits.max_input_bytes, get_greatest_request_bytes, record_eviction
+        limits.max_input_bytes, get_greatest_message_bytes, record_eviction
     )
 
     def get_host_limits() -> routes.CallerLimits:
