--- a/corianderrill/gateway/quota_terms.py
+++ b/corianderrill/gateway/quota_terms.py
@@ -19,8 +19,8 @@
 START_SHARE = 0.2
 LOCAL_SHARE = 0.45
 # The share of the quota itself that is lent in quota leases. A host that is cut off
-# from the quota lessor has only its lease, so the leases have to cover most of the usual
-# demand; the rest is for demand that moves faster than leases do.
+# from the quota lessor has only its lease, so the leases have to cover most of the
+# usual demand; the rest is for demand that moves faster than leases do.
 LEASED_QUOTA_SHARE = 0.35
 # How long a quota lease lasts, from the sending of the host's message.
 LEASE_S = 10.0
