--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -64,6 +64,10 @@
     GIVEN_UP = "given-up"
 
 
+def _has_no_quotas() -> bool:
+    return False
+
+
 @dataclasses.dataclass(slots=True)
 class AggregatorRole:
     """The aggregator slot that this host holds or waits for.
@@ -87,7 +91,7 @@
     scope: Scope = Scope.OWN_ZONE
     zones: Iterable[names.ZoneName] = ()
     # Whether a workspace has a quota.
-    has_quotas: Callable[[], bool] = bool
+    has_quotas: Callable[[], bool] = _has_no_quotas
     _term: quota_lessor.SlotTerm | None = None
     _vacant_since: dict[aggregators.SlotKey, float] = dataclasses.field(
         default_factory=dict
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -29,6 +29,7 @@
     quarantine,
     query_rate,
     quota_ledger,
+    quota_upkeep,
     quotas,
     rate_limits,
     replica_notices,
@@ -241,7 +242,7 @@
         start("store-probe", self._store_probe.run)
         self._demand_task = start("demand", self._demand_reporter.run)
         start("crash-notes", self._crash_notes.run)
-        start("quotas", self._shared.quotas.run)
+        start("quotas", quota_upkeep.QuotaUpkeep(self._shared.quotas).run)
         start("expiry", self._drop_expired_replicas_and_connections)
         start("log", self._flush_log)
         start("settings", self._check_settings)
--- a/corianderrill/gateway/quota_client.py
+++ b/corianderrill/gateway/quota_client.py
@@ -8,7 +8,6 @@
 
 import collections
 import dataclasses
-import enum
 import itertools
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -16,54 +15,29 @@
 from corianderrill import metrics, names
 from corianderrill.gateway import (
     aggregators,
-    connections,
     event_log,
     loop,
+    quota_exchanges,
     quota_ledger,
     quota_messages,
     quota_records,
-    send_order,
 )
 
 # Requests that come while so many messages are on their way wait for the next one.
 MAX_MESSAGES_IN_FLIGHT = 4
-MESSAGE_TIMEOUT_S = 1.0
 BACKOFF_BASE_S = 0.2
 MAX_BACKOFF_S = 2.0
 
 
-class Outcome(enum.Enum):
-    """How a question to a lessor ended; the values are written to the log."""
-
-    GRANTED = "granted"
-    DENIED = "denied"
-    OVERDUE = "overdue"
-    REFUSED = "refused"
-    FAILED = "failed"
-    UNKNOWN = "unknown-workspace"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
     """The answer for one request, and the term of a token that it got."""
 
-    outcome: Outcome
+    outcome: quota_exchanges.Outcome
     retry_after_s: float = 0.0
     term: quota_ledger.Term = quota_ledger.Term("")
 
 
-class Pool(Protocol):
-    """The connections to one lessor."""
-
-    def send(
-        self, request: connections.OutboundRequest
-    ) -> connections.Connection | None:
-        """Send a request, or queue it."""
-
-    def cancel_queued(self, request: connections.OutboundRequest) -> None:
-        """Remove a request from the queue."""
-
-
 class Books(Protocol):
     """What this host keeps of each workspace."""
 
@@ -124,7 +98,7 @@
 
     lessee: quota_ledger.Lessee
     zone: names.ZoneName
-    get_pool: Callable[[names.Address], Pool]
+    get_pool: Callable[[names.Address], quota_exchanges.Pool]
     wants_slot: Callable[[], bool]
     books: Books
     loop: loop.Loop
@@ -163,8 +137,8 @@
             return
         if waiter in link.waiting:
             link.waiting.remove(waiter)
-        self._record_loss(link, Outcome.OVERDUE)
-        waiter.finish(Verdict(Outcome.OVERDUE))
+        self._record_loss(link, quota_exchanges.Outcome.OVERDUE)
+        waiter.finish(Verdict(quota_exchanges.Outcome.OVERDUE))
 
     def renew(
         self, holder: aggregators.Aggregator, workspaces: Iterable[names.WorkspaceName]
@@ -196,7 +170,7 @@
         while (link.waiting or link.renewals) and (
             link.in_flight < MAX_MESSAGES_IN_FLIGHT
         ):
-            exchange = Exchange(self, link, self._take_asks(link))
+            exchange = quota_exchanges.Exchange(self, link, self._take_asks(link))
             link.in_flight += 1
             exchange.start()
 
@@ -238,7 +212,9 @@
             ],
         )
 
-    def handle_end(self, exchange: "Exchange", outcome: Outcome) -> None:
+    def handle_end(
+        self, exchange: quota_exchanges.Exchange, outcome: quota_exchanges.Outcome
+    ) -> None:
         """Distribute the answer to a message, or report that there is none."""
         link = exchange.link
         link.in_flight -= 1
@@ -253,7 +229,7 @@
             self._distribute(exchange)
         self._flush(link)
 
-    def _distribute(self, exchange: "Exchange") -> None:
+    def _distribute(self, exchange: quota_exchanges.Exchange) -> None:
         link, answer = exchange.link, exchange.answer
         term = quota_ledger.Term(answer.term)
         if link.term != term:
@@ -263,7 +239,10 @@
         for (workspace, waiters), grant in zip(
             exchange.asks.items(), answer.grants, strict=True
         ):
-            if grant.units and now - exchange.sent_at < MESSAGE_TIMEOUT_S:
+            if (
+                grant.units
+                and now - exchange.sent_at < quota_exchanges.MESSAGE_TIMEOUT_S
+            ):
                 self.books.add_lease(workspace, grant, exchange.sent_at)
             unused = self._finish_waiters(waiters, grant, term, now)
             if unused:
@@ -283,16 +262,16 @@
             if waiter.is_done:
                 continue
             if now > waiter.deadline:
-                waiter.finish(Verdict(Outcome.OVERDUE))
+                waiter.finish(Verdict(quota_exchanges.Outcome.OVERDUE))
             elif grant.granted == quota_messages.UNKNOWN:
-                waiter.finish(Verdict(Outcome.UNKNOWN))
+                waiter.finish(Verdict(quota_exchanges.Outcome.UNKNOWN))
             elif left:
                 left -= 1
-                waiter.finish(Verdict(Outcome.GRANTED, term=term))
+                waiter.finish(Verdict(quota_exchanges.Outcome.GRANTED, term=term))
             else:
                 retry_after_s = grant.retry_after_s + denied / waiter.requests_per_s
                 denied += 1
-                waiter.finish(Verdict(Outcome.DENIED, retry_after_s))
+                waiter.finish(Verdict(quota_exchanges.Outcome.DENIED, retry_after_s))
         return left
 
     def _record_answer(self, link: _Link) -> None:
@@ -307,7 +286,7 @@
         link.failures = 0
         link.unavailable_until = 0.0
 
-    def _record_loss(self, link: _Link, outcome: Outcome) -> None:
+    def _record_loss(self, link: _Link, outcome: quota_exchanges.Outcome) -> None:
         now = self.loop.now()
         if now < link.unavailable_until:
             return
@@ -327,106 +306,3 @@
         for key in self._links.keys() - keys:
             if not self._links[key].in_flight:
                 del self._links[key]
-
-
-class Exchange:
-    """One message to a lessor, with its answer."""
-
-    idempotent = True
-
-    def __init__(
-        self,
-        client: QuotaClient,
-        link: _Link,
-        asks: dict[names.WorkspaceName, list[Waiter]],
-    ) -> None:
-        self._client = client
-        self.link = link
-        self.asks = asks
-        self.sent_at = 0.0
-        self.answer: quota_messages.Answer | None = None
-        self._message: quota_messages.Message | None = None
-        self._is_done = False
-        self._connection: connections.Connection | None = None
-        self._pool: Pool | None = None
-        self._timer: loop.Timer | None = None
-
-    def start(self) -> None:
-        """Send the message; its end may come before this returns."""
-        self._timer = self._client.loop.call_later(
-            MESSAGE_TIMEOUT_S, self._handle_timeout
-        )
-        self._pool = self._client.get_pool(self.link.holder.address)
-        self._pool.send(self)
-
-    def _handle_timeout(self) -> None:
-        if self._is_done:
-            return
-        if self._connection is not None:
-            self._connection.abort(self)
-        else:
-            self._pool.cancel_queued(self)
-        self._end(Outcome.OVERDUE)
-
-    def _end(self, outcome: Outcome) -> None:
-        self._is_done = True
-        self._timer.cancel()
-        self._client.handle_end(self, outcome)
-
-    # Callbacks of the connection.
-
-    def get_urgency(self, now: float) -> send_order.Urgency:
-        """Return a rank before all queries for the same host."""
-        return send_order.Urgency(False, now)
-
-    def render(self) -> bytes:
-        """Return the bytes of the message. A lease counts from now."""
-        self.sent_at = self._client.loop.now()
-        self._message = self._client.build_message(self.link, self.asks)
-        return quota_messages.render_message(self._message)
-
-    def on_send_start(self) -> None:
-        """Do nothing: `render` has set the time of sending."""
-
-    def may_send(self) -> bool:
-        """Return True; a host that is not the lessor refuses."""
-        return True
-
-    def may_use(self, connection: connections.Connection) -> bool:
-        """Return True: each connection may carry any message."""
-        return True
-
-    def attach(self, connection: connections.Connection) -> None:
-        """Keep the connection, so that it can be closed."""
-        self._connection = connection
-
-    def owns_reply(self, headers: list[tuple[bytes, bytes]]) -> bool:
-        """Return True: a connection carries one message at a time."""
-        return True
-
-    def on_interim_reply(self) -> None:
-        """Wait on."""
-
-    def on_result(
-        self, result: connections.RawReply | connections.FailedExchange
-    ) -> None:
-        """Process the answer of the lessor, or the reason why there is none."""
-        if not self._is_done:
-            self._end(self._evaluate(result))
-
-    def _evaluate(
-        self, result: connections.RawReply | connections.FailedExchange
-    ) -> Outcome:
-        match result:
-            case connections.FailedExchange():
-                return Outcome.FAILED
-            case connections.RawReply(status=503):
-                return Outcome.REFUSED
-        try:
-            self.answer = quota_messages.parse_answer(result, self._message)
-        except quota_messages.MessageError as error:
-            self._client.log.record(
-                quota_records.QuotaMessageRefused(self.link.holder.host, str(error))
-            )
-            return Outcome.FAILED
-        return Outcome.GRANTED
--- a/corianderrill/gateway/quota_placement.py
+++ b/corianderrill/gateway/quota_placement.py
@@ -10,6 +10,8 @@
 from corianderrill import names
 from corianderrill.gateway import aggregators
 
+MAX_CACHED = 10_000
+
 
 class QuotaPlacement:
     """Rendezvous hashing of workspaces over the slots of all zones."""
@@ -26,6 +28,8 @@
         """Return the slot of a workspace. Raise ValueError if there are no zones."""
         key = self._key_by_workspace.get(workspace)
         if key is None:
+            if len(self._key_by_workspace) >= MAX_CACHED:
+                self._key_by_workspace.clear()
             key = max(self._keys, key=lambda key: _compute_weight(workspace, key))
             self._key_by_workspace[workspace] = key
         return key
--- a/corianderrill/gateway/quotas.py
+++ b/corianderrill/gateway/quotas.py
@@ -6,11 +6,9 @@
 """
 
 import dataclasses
-import enum
 import math
 from collections.abc import Callable, Iterable, Sequence
 
-import eventlet
 from eventlet import event
 
 from corianderrill import metrics, names
@@ -20,12 +18,14 @@
     loop,
     quota_allowances,
     quota_client,
+    quota_exchanges,
     quota_ledger,
     quota_lessor,
     quota_messages,
     quota_placement,
     quota_records,
     quota_terms,
+    quota_verdicts,
     routes,
     view,
 )
@@ -37,62 +37,26 @@
 MAX_ANSWER_TIME_S = 0.1
 # A request that no lessor decided may come back after this time.
 UNDECIDED_RETRY_AFTER_S = 0.25
-TICK_INTERVAL_S = 0.25
-CLEANUP_INTERVAL_S = 20.0
 # Without quota lessors, each host uses this part of an equal share of the quota. The
 # rest is for hosts that are added.
 EQUAL_SHARE_FACTOR = 0.9
 
 
-class Decision(enum.Enum):
-    """How a request was decided; the values are reasons in logs and metrics."""
-
-    LEASE = "lease"
-    TOKEN = "token"
-    OVER_QUOTA = "over-quota"
-    LESSOR_UNKNOWN = "quota-lessor-unknown"
-    LESSOR_UNREACHABLE = "quota-lessor-unreachable"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admission:
-    """A request that may run, and what it takes of the quota of its workspace.
-
-    `term` is the ledger of its token, empty if it was admitted under a lease.
-    """
-
-    workspace: names.WorkspaceName
-    admitted_at: float
-    key: aggregators.SlotKey | None = None
-    term: quota_ledger.Term = quota_ledger.Term("")
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request may not run, and when it may return."""
-
-    status: int
-    decision: Decision
-    retry_after_s: float
-
-
-Verdict = Admission | Refusal
-
-
 class Unlimited:
     """Admits all requests, where there are no quotas."""
 
     def admit(self, *_: object) -> None:
         """Return that the request takes nothing of a quota."""
 
-    def give_back(self, _: Admission | None) -> None:
+    def give_back(self, _: quota_verdicts.Admission | None) -> None:
         """Do nothing."""
 
     def answer(self, _: quota_messages.Message) -> None:
         """Return that this host is no quota lessor."""
 
-    def update_gauges(self, _: float) -> None:
-        """Do nothing."""
+    def is_needed(self) -> bool:
+        """Return that no workspace has a quota."""
+        return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,7 +68,7 @@
     terms: quota_terms.QuotaTerms
     key: aggregators.SlotKey
     began_at: float
-    on_verdict: Callable[[Verdict], None]
+    on_verdict: Callable[[quota_verdicts.Verdict], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,7 +84,7 @@
     directory: aggregators.AggregatorDirectory
     zones: Iterable[names.ZoneName]
     roles: Sequence[quota_lessor.SlotRole]
-    get_pool: Callable[[names.Address], quota_client.Pool]
+    get_pool: Callable[[names.Address], quota_exchanges.Pool]
     wants_slot: Callable[[], bool]
     zone: names.ZoneName
     can_hold_slots: bool
@@ -138,7 +102,6 @@
     lessor: quota_lessor.QuotaLessor = dataclasses.field(init=False)
     _configuration: routes.Configuration | None = None
     _has_seen_lessor: bool = False
-    _cleaned_at: float = -math.inf
 
     def __post_init__(self) -> None:
         self.placement = quota_placement.QuotaPlacement(self.zones)
@@ -205,6 +168,15 @@
             None if self.bounds is None else quota_terms.build_terms(found, self.bounds)
         )
 
+    def find_terms_if_known(
+        self, workspace: names.WorkspaceName
+    ) -> quota_terms.QuotaTerms | None:
+        """Return the quota of a workspace; None if it has none or is unknown."""
+        try:
+            return self.find_terms(workspace)
+        except KeyError:
+            return None
+
     # Requests.
 
     def admit(
@@ -213,7 +185,7 @@
         route: routes.Route,
         request_id: names.RequestId,
         now: float,
-    ) -> Admission | Refusal | None:
+    ) -> quota_verdicts.Admission | quota_verdicts.Refusal | None:
         """Decide on a request; wait for the quota lessor if it has to be asked.
 
         `workspace` is empty if the request belongs to none. Return None if it has no
@@ -221,7 +193,7 @@
         """
         if not workspace or self.bounds is None:
             return None
-        terms = self._find_terms_if_known(workspace)
+        terms = self.find_terms_if_known(workspace)
         if terms is None:
             return None
         decided = event.Event()
@@ -235,7 +207,7 @@
         goal_s: float,
         request_id: names.RequestId,
         now: float,
-        on_verdict: Callable[[Verdict], None],
+        on_verdict: Callable[[quota_verdicts.Verdict], None],
     ) -> None:
         """Decide on a request; `on_verdict` may be called before this returns."""
         key = self.placement.find_slot(workspace)
@@ -248,9 +220,15 @@
             return
         holder = self.directory.find_holder(key)
         if holder is None or holder.host == self.lessee.host:
-            self._refuse(request, Decision.LESSOR_UNKNOWN, UNDECIDED_RETRY_AFTER_S)
+            self._refuse(
+                request, quota_verdicts.Decision.LESSOR_UNKNOWN, UNDECIDED_RETRY_AFTER_S
+            )
         elif not self.client.is_available(holder):
-            self._refuse(request, Decision.LESSOR_UNREACHABLE, UNDECIDED_RETRY_AFTER_S)
+            self._refuse(
+                request,
+                quota_verdicts.Decision.LESSOR_UNREACHABLE,
+                UNDECIDED_RETRY_AFTER_S,
+            )
         else:
             self._ask(request, holder, goal_s, now)
 
@@ -260,7 +238,11 @@
         least_units = self._compute_equal_share(request.terms, now)
         if not allowance.try_admit(request.terms, now, least_units):
             return False
-        self._admit(request, Decision.LEASE, Admission(request.workspace, now))
+        self._admit(
+            request,
+            quota_verdicts.Decision.LEASE,
+            quota_verdicts.Admission(request.workspace, now),
+        )
         return True
 
     def _compute_equal_share(self, terms: quota_terms.QuotaTerms, now: float) -> int:
@@ -282,32 +264,32 @@
         self, request: _Request, ledger: quota_ledger.QuotaLedger, now: float
     ) -> None:
         """Decide as the quota lessor of the workspace."""
-        grant = self._ask_ledger(request, ledger, 1, now)
+        grant = self._ask_ledger(request.workspace, request.terms, ledger, 1, now)
         if grant.granted:
-            admission = Admission(request.workspace, now, request.key, ledger.term)
-            self._admit(request, Decision.TOKEN, admission)
+            admission = quota_verdicts.Admission(
+                request.workspace, now, request.key, ledger.term
+            )
+            self._admit(request, quota_verdicts.Decision.TOKEN, admission)
         else:
-            self._refuse(request, Decision.OVER_QUOTA, grant.retry_after_s)
+            self._refuse(
+                request, quota_verdicts.Decision.OVER_QUOTA, grant.retry_after_s
+            )
 
     def _ask_ledger(
         self,
-        request: _Request,
+        workspace: names.WorkspaceName,
+        terms: quota_terms.QuotaTerms,
         ledger: quota_ledger.QuotaLedger,
         wanted: int,
         now: float,
     ) -> quota_ledger.Grant:
-        ask = quota_ledger.Ask(wanted, self.take_used(request.workspace))
+        ask = quota_ledger.Ask(wanted, self.take_used(workspace))
+        sequence = self.client.next_sequence()
         grant = self.lessor.decide(
-            ledger,
-            request.workspace,
-            request.terms,
-            self.lessee,
-            self.client.next_sequence(),
-            ask,
-            now,
+            ledger, workspace, terms, self.lessee, sequence, ask, now
         )
         if grant.units:
-            self.allowances.get(request.workspace).add(grant.units, grant.total, now)
+            self.allowances.get(workspace).add(grant.units, grant.total, now)
         return grant
 
     def _ask(
@@ -331,28 +313,41 @@
         """Decide on a request by the answer of the lessor, or without one."""
         now = self.loop.now()
         match verdict.outcome:
-            case quota_client.Outcome.GRANTED:
-                admission = Admission(request.workspace, now, request.key, verdict.term)
-                self._admit(request, Decision.TOKEN, admission)
-            case quota_client.Outcome.DENIED:
-                self._refuse(request, Decision.OVER_QUOTA, verdict.retry_after_s)
+            case quota_exchanges.Outcome.GRANTED:
+                admission = quota_verdicts.Admission(
+                    request.workspace, now, request.key, verdict.term
+                )
+                self._admit(request, quota_verdicts.Decision.TOKEN, admission)
+            case quota_exchanges.Outcome.DENIED:
+                self._refuse(
+                    request, quota_verdicts.Decision.OVER_QUOTA, verdict.retry_after_s
+                )
             case _ if self._try_lease(request, now):
                 return
-            case quota_client.Outcome.REFUSED | quota_client.Outcome.UNKNOWN:
-                self._refuse(request, Decision.LESSOR_UNKNOWN, UNDECIDED_RETRY_AFTER_S)
+            case quota_exchanges.Outcome.REFUSED | quota_exchanges.Outcome.UNKNOWN:
+                self._refuse(
+                    request,
+                    quota_verdicts.Decision.LESSOR_UNKNOWN,
+                    UNDECIDED_RETRY_AFTER_S,
+                )
             case _:
                 self._refuse(
-                    request, Decision.LESSOR_UNREACHABLE, UNDECIDED_RETRY_AFTER_S
+                    request,
+                    quota_verdicts.Decision.LESSOR_UNREACHABLE,
+                    UNDECIDED_RETRY_AFTER_S,
                 )
 
     def _admit(
-        self, request: _Request, decision: Decision, admission: Admission
+        self,
+        request: _Request,
+        decision: quota_verdicts.Decision,
+        admission: quota_verdicts.Admission,
     ) -> None:
         self.meter.count(metrics.GATEWAY_QUOTA_DECISIONS, decision.value)
         request.on_verdict(admission)
 
     def _refuse(
-        self, request: _Request, decision: Decision, retry_after_s: float
+        self, request: _Request, decision: quota_verdicts.Decision, retry_after_s: float
     ) -> None:
         self.meter.count(metrics.GATEWAY_QUOTA_DECISIONS, decision.value)
         now = self.loop.now()
@@ -370,10 +365,10 @@
                 retry_after_s=round(retry_after_s, 3),
             )
         )
-        status = 429 if decision is Decision.OVER_QUOTA else 503
-        request.on_verdict(Refusal(status, decision, retry_after_s))
+        status = 429 if decision is quota_verdicts.Decision.OVER_QUOTA else 503
+        request.on_verdict(quota_verdicts.Refusal(status, decision, retry_after_s))
 
-    def give_back(self, admission: Admission | None) -> None:
+    def give_back(self, admission: quota_verdicts.Admission | None) -> None:
         """Return what a request took that was certainly not sent to any replica."""
         if admission is None:
             return
@@ -410,75 +405,19 @@
         """Keep a lease that an answer brought."""
         self.allowances.get(workspace).add(grant.units, grant.total, sent_at)
 
-    # In the background.
-
-    def run(self) -> None:
-        """Renew leases and return tokens; never returns."""
-        while True:
-            eventlet.sleep(TICK_INTERVAL_S)
-            self.tick(self.loop.now())
-
-    def tick(self, now: float) -> None:
-        """Do what is due."""
-        if not self.is_needed():
-            return
-        for workspace in self.allowances.list_due(now):
-            self._renew(workspace, now)
-        self.client.send_returned()
-        self.lessor.drop_ended(now)
-        if now - self._cleaned_at >= CLEANUP_INTERVAL_S:
-            self._cleaned_at = now
-            self._drop_idle(now)
-
-    def _renew(self, workspace: names.WorkspaceName, now: float) -> None:
-        terms = self._find_terms_if_known(workspace)
+    def renew_lease(self, workspace: names.WorkspaceName, now: float) -> None:
+        """Ask for a new lease in the background."""
+        terms = self.find_terms_if_known(workspace)
         if terms is None:
             return
         key = self.placement.find_slot(workspace)
         ledger = self.lessor.find_ledger(key, now)
         holder = self.directory.find_holder(key)
         if ledger is not None:
-            request = _Request("", workspace, terms, key, now, lambda _: None)
-            self._ask_ledger(request, ledger, 0, now)
+            self._ask_ledger(workspace, terms, ledger, 0, now)
         elif (
             holder is not None
             and holder.host != self.lessee.host
             and self.client.is_available(holder)
         ):
             self.client.renew(holder, [workspace])
-
-    def _find_terms_if_known(
-        self, workspace: names.WorkspaceName
-    ) -> quota_terms.QuotaTerms | None:
-        try:
-            return self.find_terms(workspace)
-        except KeyError:
-            return None
-
-    def _drop_idle(self, now: float) -> None:
-        for workspace, allowance in self.allowances.items():
-            terms = self._find_terms_if_known(workspace)
-            if terms is None or allowance.is_idle(terms, now):
-                self.allowances.discard(workspace)
-        self.client.retain(self.directory.list_keys())
-
-    def update_gauges(self, now: float) -> None:
-        """Set the gauges of leases and tokens."""
-        if not self.is_needed():
-            return
-        units = {}
-        for workspace, allowance in self.allowances.items():
-            terms = self._find_terms_if_known(workspace)
-            if terms is not None:
-                units[(workspace,)] = allowance.count_units(terms, now)
-        self.meter.replace(metrics.GATEWAY_QUOTA_UNITS, units)
-        tokens = {}
-        leased = 0
-        for workspace, account in self.lessor.list_accounts(now):
-            terms = self._find_terms_if_known(workspace)
-            if terms is not None:
-                account.refill(terms, now)
-                tokens[(workspace,)] = round(account.tokens, 2)
-                leased += account.count_leased(terms, now)
-        self.meter.replace(metrics.GATEWAY_QUOTA_TOKENS_LEFT, tokens)
-        self.meter.set(metrics.GATEWAY_QUOTA_LEASED, leased)
--- a/corianderrill/gateway/scrape.py
+++ b/corianderrill/gateway/scrape.py
@@ -3,7 +3,14 @@
 from collections.abc import Mapping
 
 from corianderrill import metrics
-from corianderrill.gateway import event_log, loop, shared_state, store_watcher, wsgi_app
+from corianderrill.gateway import (
+    event_log,
+    loop,
+    quota_upkeep,
+    shared_state,
+    store_watcher,
+    wsgi_app,
+)
 
 
 def render(
@@ -29,6 +36,6 @@
     meter.set(metrics.GATEWAY_STORE_SILENT, round(silent_s, 3))
     if shared.view.was_confirmed():
         meter.set(metrics.GATEWAY_VIEW_AGE, round(shared.view.get_age_s(now), 3))
-    shared.quotas.update_gauges(now)
+    quota_upkeep.update_gauges(shared.quotas, now)
     meter.set(metrics.GATEWAY_LINES_LEFT_OUT, handler.dropped_lines)
     return meter.render()
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -14,7 +14,7 @@
     delegation,
     in_flight,
     quarantine,
-    quotas,
+    quota_verdicts,
     refusals,
     request_bodies,
     request_records,
@@ -180,7 +180,7 @@
         admission = self._shared.quotas.admit(
             inbound.workspace, route, inbound.id, self._shared.loop.now()
         )
-        if isinstance(admission, quotas.Refusal):
+        if isinstance(admission, quota_verdicts.Refusal):
             return self._refusals.refuse(
                 request_id,
                 route.name,
@@ -226,7 +226,7 @@
         environ: dict[str, object],
         inbound: requests.InboundRequest,
         selected: routes.SelectedRoute,
-        admission: quotas.Admission | None,
+        admission: quota_verdicts.Admission | None,
     ) -> responses.Response | None:
         route = selected.route
         services = self._target_selector.select_services(route)
--- a/tests/test_gateway_quota_bound.py
+++ b/tests/test_gateway_quota_bound.py
@@ -10,7 +10,7 @@
 import pytest
 
 from corianderrill import names
-from corianderrill.gateway import quotas
+from corianderrill.gateway import quota_verdicts
 from tests.utils import virtual_quotas
 
 SEEDS = range(20)
@@ -165,7 +165,7 @@
     assert got >= 0.9 * quota_per_s * (end_s - WARM_UP_S)
     assert virtual_quotas.find_worst_excess(site.ran[name], workspaces[0]) <= 0
     reasons = {refusal.decision for _, _, refusal in site.refusals}
-    assert reasons <= {quotas.Decision.OVER_QUOTA}
+    assert reasons <= {quota_verdicts.Decision.OVER_QUOTA}
 
 
 def test_request_without_a_lessor_is_refused_once_its_lease_is_used_up():
@@ -185,7 +185,7 @@
     assert site.slots[key].host.is_alive is False
     site.loop.run_until(60.0)
     decisions = {refusal.decision for _, _, refusal in site.refusals}
-    assert quotas.Decision.LESSOR_UNKNOWN in decisions
+    assert quota_verdicts.Decision.LESSOR_UNKNOWN in decisions
     assert min(at for at, _, _ in site.refusals) > 32.0
 
 
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -1,15 +1,20 @@
 """How one host decides on requests: by lease, by itself, or by asking the lessor."""
 
+import msgspec
 import pytest
 
 from corianderrill import names
 from corianderrill.gateway import (
     connections,
+    event_log,
     quota_client,
     quota_messages,
     quota_records,
     quota_terms,
+    quota_upkeep,
+    quota_verdicts,
     quotas,
+    request_report,
 )
 from tests.utils import gateway_builders, virtual_quotas
 from tests.utils import quota_builders as builders
@@ -46,7 +51,7 @@
     host = builders.Host(limits, bounds=bounds)
     route = gateway_builders.build_route()
     assert host.quotas.admit(workspace, route, names.RequestId("r"), 100.0) is None
-    host.quotas.tick(100.0)
+    host.upkeep.tick(100.0)
     assert not host.pool.exchanges
     assert not host.log.records
     assert not host.quotas.allowances.items()
@@ -57,8 +62,8 @@
     first = host.decide()
     assert not first
     answer(host, 0, grant(1, units=2, total=9))
-    assert isinstance(first[0], quotas.Admission)
-    assert all(isinstance(host.decide()[0], quotas.Admission) for _ in range(2))
+    assert isinstance(first[0], quota_verdicts.Admission)
+    assert all(isinstance(host.decide()[0], quota_verdicts.Admission) for _ in range(2))
     assert len(host.pool.exchanges) == 1
     assert not host.decide()
     assert read_ask(host, 1) == quota_messages.WorkspaceAsk(builders.WORKSPACE, 1, 2)
@@ -68,7 +73,7 @@
     host = builders.Host()
     verdicts = host.decide()
     answer(host, 0, grant(0, 0.75))
-    refusal = quotas.Refusal(429, quotas.Decision.OVER_QUOTA, 0.75)
+    refusal = quota_verdicts.Refusal(429, quota_verdicts.Decision.OVER_QUOTA, 0.75)
     assert verdicts == [refusal]
     record, *_ = host.log.list_of(quota_records.QuotaRefused)
     assert (record.request_id, record.cause) == ("9c41", "over-quota")
@@ -84,7 +89,7 @@
     assert read_ask(host, quota_client.MAX_MESSAGES_IN_FLIGHT).wanted == 3
     answer(host, quota_client.MAX_MESSAGES_IN_FLIGHT, grant(2, 0.5))
     last = [verdict for (verdict,) in verdicts[-3:]]
-    assert [isinstance(verdict, quotas.Admission) for verdict in last] == [
+    assert [isinstance(verdict, quota_verdicts.Admission) for verdict in last] == [
         *(True, True, False)
     ]
     assert last[2].retry_after_s == 0.5
@@ -95,11 +100,11 @@
     host = builders.Host()
     verdicts = host.decide(GOAL_S)
     host.wait(TIMEOUT_S + 0.001)
-    assert verdicts[0].decision is quotas.Decision.LESSOR_UNREACHABLE
+    assert verdicts[0].decision is quota_verdicts.Decision.LESSOR_UNREACHABLE
     assert verdicts[0].status == 503
     answer(host, 0, grant(1))
     assert len(verdicts) == 1
-    host.quotas.tick(host.loop.now())
+    host.upkeep.tick(host.loop.now())
     assert read_ask(host, 1).returned == 1
 
 
@@ -120,7 +125,7 @@
     host.decide(GOAL_S)
     host.wait(TIMEOUT_S + 0.001)
     refusal, *_ = host.decide()
-    assert refusal.decision is quotas.Decision.LESSOR_UNREACHABLE
+    assert refusal.decision is quota_verdicts.Decision.LESSOR_UNREACHABLE
     assert len(host.pool.exchanges) == 1
     answer(host, 0, grant(1))
     host.decide()
@@ -143,7 +148,7 @@
     host.decide()
     answer(host, 0, grant(1, units=2, total=9))
     host.wait(virtual_quotas.BOUNDS.window_s)
-    assert isinstance(host.decide()[0], quotas.Admission)
+    assert isinstance(host.decide()[0], quota_verdicts.Admission)
     host.loop.time += quota_terms.LEASE_S
     verdicts = host.decide(GOAL_S)
     host.wait(TIMEOUT_S + 0.001)
@@ -153,12 +158,15 @@
 @pytest.mark.parametrize(
     ("reply", "decision"),
     [
-        (connections.RawReply(503, [], b""), quotas.Decision.LESSOR_UNKNOWN),
-        (grant(quota_messages.UNKNOWN), quotas.Decision.LESSOR_UNKNOWN),
-        (connections.RawReply(200, [], b"{"), quotas.Decision.LESSOR_UNREACHABLE),
+        (connections.RawReply(503, [], b""), quota_verdicts.Decision.LESSOR_UNKNOWN),
+        (grant(quota_messages.UNKNOWN), quota_verdicts.Decision.LESSOR_UNKNOWN),
+        (
+            connections.RawReply(200, [], b"{"),
+            quota_verdicts.Decision.LESSOR_UNREACHABLE,
+        ),
         (
             connections.FailedExchange(connections.Failure.RESET, sent=True),
-            quotas.Decision.LESSOR_UNREACHABLE,
+            quota_verdicts.Decision.LESSOR_UNREACHABLE,
         ),
     ],
     ids=["not the lessor", "older configuration", "malformed", "reset"],
@@ -174,13 +182,13 @@
 def test_vacant_slot_refuses_without_a_message():
     host = builders.Host(holder=None)
     refusal, *_ = host.decide()
-    assert refusal.decision is quotas.Decision.LESSOR_UNKNOWN
+    assert refusal.decision is quota_verdicts.Decision.LESSOR_UNKNOWN
     assert not host.pool.exchanges
 
 
 def test_lessor_decides_on_its_own_requests_without_a_message():
     host = builders.Host(roles=(builders.Role(),), holder=names.HostName("h-1"))
-    assert isinstance(host.decide()[0], quotas.Admission)
+    assert isinstance(host.decide()[0], quota_verdicts.Admission)
     assert not host.pool.exchanges
 
 
@@ -195,7 +203,7 @@
     assert host.quotas.answer(message).grants[0].granted == 1
     host.loop.time = 100.5
     assert host.quotas.answer(message) is None
-    assert host.decide()[0].decision is quotas.Decision.LESSOR_UNKNOWN
+    assert host.decide()[0].decision is quota_verdicts.Decision.LESSOR_UNKNOWN
 
 
 def test_host_that_took_the_slot_is_no_lessor_before_the_former_one_has_ended():
@@ -234,9 +242,9 @@
     answer(host, 0, grant(1, units=1, total=9))
     by_lease, *_ = host.decide()
     host.quotas.give_back(by_lease)
-    assert isinstance(host.decide()[0], quotas.Admission)
+    assert isinstance(host.decide()[0], quota_verdicts.Admission)
     host.quotas.give_back(first[0])
-    host.quotas.tick(host.loop.now())
+    host.upkeep.tick(host.loop.now())
     assert read_ask(host, 1).returned == 1
 
 
@@ -258,9 +266,11 @@
 ):
     host = builders.Host(holder=None, can_hold_slots=False, host_count=host_count)
     host.quotas.started_at = 100.0
-    assert isinstance(host.decide()[0], quotas.Refusal)
+    assert isinstance(host.decide()[0], quota_verdicts.Refusal)
     host.loop.time = 100.0 + virtual_quotas.BOUNDS.window_s
-    admitted = sum(isinstance(host.decide()[0], quotas.Admission) for _ in range(200))
+    admitted = sum(
+        isinstance(host.decide()[0], quota_verdicts.Admission) for _ in range(200)
+    )
     allowed = (10.0 * virtual_quotas.BOUNDS.window_s + 10.0) * 1.1 + 20
     assert 0.8 * allowed - host_count <= admitted * host_count <= allowed
 
@@ -275,7 +285,7 @@
     host = builders.Host(roles=(builders.Role(),))
     for _ in range(3):
         host.decide()
-    host.quotas.update_gauges(host.loop.now())
+    quota_upkeep.update_gauges(host.quotas, host.loop.now())
     text = host.meter.render()[0].decode()
     assert 'corianderrill_gateway_quota_units{workspace="w-0"}' in text
     assert 'corianderrill_gateway_quota_tokens_left{workspace="w-0"}' in text
@@ -285,9 +295,9 @@
     role = builders.Role(until=101.0)
     host = builders.Host(roles=(role,))
     host.decide()
-    host.quotas.tick(100.5)
+    host.upkeep.tick(100.5)
     assert not host.log.list_of(quota_records.QuotaTermEnded)
-    host.quotas.tick(101.0)
+    host.upkeep.tick(101.0)
     assert len(host.log.list_of(quota_records.QuotaTermEnded)) == 1
 
 
@@ -302,3 +312,15 @@
             quota_messages.Message("h-2", "1", 1, "", "zone-b", wants_slot, [ask])
         )
     assert offered == ["zone-b"]
+
+
+def test_report_of_a_request_tells_why_its_quota_refused_it():
+    host = builders.Host()
+    host.decide()
+    answer(host, 0, grant(0, 0.75))
+    lines = [event_log.LogLine(1.0, "h-1", 0, record) for record in host.log.records]
+    text = [msgspec.json.encode(line).decode() for line in lines]
+    logs = request_report.parse_logs([text])
+    report = "\n".join(request_report.describe_request(logs, names.RequestId("9c41")))
+    assert "over-quota" in report
+    assert builders.OTHER_HOST in report
--- a/tests/utils/quota_builders.py
+++ b/tests/utils/quota_builders.py
@@ -1,7 +1,5 @@
 """Builders of quotas: terms, lessees, ledgers and the state of one host."""
 
-import random
-
 from corianderrill import metrics, names
 from corianderrill.gateway import (
     aggregators,
@@ -9,6 +7,7 @@
     quota_lessor,
     quota_placement,
     quota_terms,
+    quota_upkeep,
     quotas,
 )
 from tests.utils import fake_stores, virtual_quotas, virtual_servers
@@ -98,6 +97,8 @@
             **fields,
         )
 
+        self.upkeep = quota_upkeep.QuotaUpkeep(self.quotas)
+
     def publish(self, *limits, version=1):
         workspaces = virtual_quotas.build_workspaces(*limits)
         self.view.configuration = virtual_quotas.build_configuration(
@@ -119,7 +120,3 @@
 
     def wait(self, duration_s):
         self.loop.run_until(self.loop.now() + duration_s)
-
-
-def build_rng():
-    return random.Random(1)
--- a/tests/utils/virtual_quotas.py
+++ b/tests/utils/virtual_quotas.py
@@ -16,6 +16,8 @@
     quota_ledger,
     quota_lessor,
     quota_messages,
+    quota_upkeep,
+    quota_verdicts,
     quotas,
     routes,
 )
@@ -201,13 +203,14 @@
             BOUNDS,
             float(self.site.host_count),
         )
+        self.upkeep = quota_upkeep.QuotaUpkeep(self.quotas)
         for key in self.site.slots:
             self.hear(key)
-        self.loop.call_later(quotas.TICK_INTERVAL_S, self._tick)
+        self.loop.call_later(quota_upkeep.TICK_INTERVAL_S, self._tick)
 
     def _tick(self):
-        self.loop.call_later(quotas.TICK_INTERVAL_S, self._tick)
-        self.quotas.tick(self.loop.now())
+        self.loop.call_later(quota_upkeep.TICK_INTERVAL_S, self._tick)
+        self.upkeep.tick(self.loop.now())
 
     def hear(self, key):
         """Learn who holds a slot."""
@@ -256,13 +259,13 @@
     def _conclude(self, workspace, began_at, verdict):
         site = self.site
         match verdict:
-            case quotas.Admission():
+            case quota_verdicts.Admission():
                 if site.rng.random() < site.unsent_share:
                     self.quotas.give_back(verdict)
                     return
                 delay_s = site.rng.uniform(0.001, site.max_replica_delay_s)
                 self.loop.call_later(delay_s, site.run, workspace)
-            case quotas.Refusal():
+            case quota_verdicts.Refusal():
                 site.refusals.append((self.loop.now(), workspace, verdict))
         site.waits_s.append(self.loop.now() - began_at)
 
