Keep the books of a quota over dropped ledgers and removed workspaces

A lessor whose slot lease was renewed just after it had become uncertain began a second ledger in the same term, with a full bucket. A ledger now counts from when it is made. A workspace that was removed from the configuration and added again within a window had its tokens and the times of its admissions forgotten; both are kept until they have no effect. A request that was admitted beyond the bucket returns no token.

--- a/corianderrill/gateway/quota_allowances.py
+++ b/corianderrill/gateway/quota_allowances.py
@@ -55,7 +55,7 @@
         self, terms: quota_terms.QuotaTerms, now: float, least_units: int = 0
     ) -> bool:
         """Admit a request if the leases, or `least_units`, have room for it."""
-        self._drop_old(terms, now)
+        self._drop_old(terms.window_s, now)
         units = max(self.count_units(terms, now), least_units)
         if len(self._admitted_at) >= units:
             return False
@@ -63,8 +63,8 @@
         self.used += 1
         return True
 
-    def _drop_old(self, terms: quota_terms.QuotaTerms, now: float) -> None:
-        while self._admitted_at and self._admitted_at[0] < now - terms.window_s:
+    def _drop_old(self, window_s: float, now: float) -> None:
+        while self._admitted_at and self._admitted_at[0] < now - window_s:
             self._admitted_at.popleft()
         if self._leases and now >= self._leases[0].until:
             self._leases = [lease for lease in self._leases if now < lease.until]
@@ -85,9 +85,9 @@
         until = max((lease.until for lease in self._leases), default=-math.inf)
         return self.used > 0 and now < until <= now + RENEWAL_MARGIN_S
 
-    def is_idle(self, terms: quota_terms.QuotaTerms, now: float) -> bool:
+    def is_idle(self, window_s: float, now: float) -> bool:
         """Return whether nothing of the workspace has to be kept."""
-        self._drop_old(terms, now)
+        self._drop_old(window_s, now)
         return not self._leases and not self._admitted_at
 
 
@@ -119,5 +119,5 @@
         return list(self._by_workspace.items())
 
     def discard(self, workspace: names.WorkspaceName) -> None:
-        """Forget a workspace that is idle or no longer exists."""
+        """Forget a workspace that is idle."""
         self._by_workspace.pop(workspace, None)
--- a/corianderrill/gateway/quota_client.py
+++ b/corianderrill/gateway/quota_client.py
@@ -31,7 +31,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
-    """The answer for one request, and the term of a token that it got."""
+    """The answer for one request, and the term of a token that it got.
+
+    The term is empty if there is none that could go back.
+    """
 
     outcome: quota_exchanges.Outcome
     retry_after_s: float = 0.0
@@ -255,8 +258,9 @@
         term: quota_ledger.Term,
         now: float,
     ) -> int:
-        """Report the grant to the requests that still wait; return what is left."""
+        """Report the grant to the requests that still wait; return the tokens left."""
         left = max(grant.granted, 0)
+        no_term = quota_ledger.Term("")
         denied = 0
         for waiter in waiters:
             if waiter.is_done:
@@ -266,13 +270,14 @@
             elif grant.granted == quota_messages.UNKNOWN:
                 waiter.finish(Verdict(quota_exchanges.Outcome.UNKNOWN))
             elif left:
+                token_term = term if left > grant.overdrawn else no_term
                 left -= 1
-                waiter.finish(Verdict(quota_exchanges.Outcome.GRANTED, term=term))
+                waiter.finish(Verdict(quota_exchanges.Outcome.GRANTED, term=token_term))
             else:
                 retry_after_s = grant.retry_after_s + denied / waiter.requests_per_s
                 denied += 1
                 waiter.finish(Verdict(quota_exchanges.Outcome.DENIED, retry_after_s))
-        return left
+        return max(left - grant.overdrawn, 0)
 
     def _record_answer(self, link: _Link) -> None:
         if link.lost_at is not None:
--- a/corianderrill/gateway/quota_ledger.py
+++ b/corianderrill/gateway/quota_ledger.py
@@ -34,6 +34,8 @@
 # Below this many requests of a host in a half-life, its record is dropped.
 MIN_DEMAND = 0.01
 PRUNE_INTERVAL_S = 20.0
+# Longer than a lease and a window.
+IDLE_S = 60.0
 # The latest time for which requests over the quota are asked to come back.
 MAX_RETRY_DELAY_S = 5.0
 
@@ -64,13 +66,15 @@
     """How many of the wanted requests may run, and the lease of the host.
 
     The first of the others may come back after `retry_after_s`. The lease allows
-    `units` of the `total` units that all leases have; 0 if the host gets none.
+    `units` of the `total` units that all leases have; 0 if the host gets none. The last
+    `overdrawn` of the requests took no token that could go back.
     """
 
     granted: int
     retry_after_s: float = 0.0
     units: int = 0
     total: int = 0
+    overdrawn: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +127,7 @@
         default_factory=collections.deque
     )
     _pruned_at: float = -math.inf
+    _asked_at: float = -math.inf
 
     def refill(self, terms: quota_terms.QuotaTerms, now: float) -> None:
         """Add the tokens that were earned since the last refill."""
@@ -142,6 +147,7 @@
         """Take tokens for the requests of a host and renew its lease."""
         self.refill(terms, now)
         self._prune(terms, now)
+        self._asked_at = now
         record = self._lessees.setdefault(lessee, _LesseeRecord())
         self._take_back(terms, record, sequence, ask.returned)
         record.demand.add(ask.wanted + ask.used, now)
@@ -149,12 +155,14 @@
         granted = min(ask.wanted, math.floor(self.tokens))
         self.tokens -= granted
         record.granted += granted
+        overdrawn = 0
         if may_lease:
-            granted += self._overdraw(terms, ask.wanted - granted, now)
+            overdrawn = self._overdraw(terms, ask.wanted - granted, now)
+        granted += overdrawn
         denied = ask.wanted - granted
         retry_after_s = self._plan_return(terms, denied, now) if denied else 0.0
         units = self._lease(terms, lessee, now) if may_lease else 0
-        return Grant(granted, retry_after_s, units, terms.leased)
+        return Grant(granted, retry_after_s, units, terms.leased, overdrawn)
 
     def give_back(self, lessee: Lessee) -> None:
         """Put a token of this host back; the next refill limits them."""
@@ -249,6 +257,10 @@
             if record.demand.read(now) < MIN_DEMAND and lessee not in self._leases:
                 del self._lessees[lessee]
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether nothing was asked for so long that all has ended."""
+        return now - self._asked_at >= IDLE_S
+
     def count_leased(self, terms: quota_terms.QuotaTerms, now: float) -> int:
         """Return the units of all leases that count."""
         return sum(_count_units(leases, terms, now) for leases in self._leases.values())
@@ -308,10 +320,9 @@
         if account is not None:
             account.give_back(lessee)
 
-    def retain(self, workspaces: set[names.WorkspaceName]) -> None:
-        """Forget the workspaces that the configuration no longer has."""
-        for workspace in self._accounts.keys() - workspaces:
-            del self._accounts[workspace]
+    def discard(self, workspace: names.WorkspaceName) -> None:
+        """Forget a workspace that is idle."""
+        self._accounts.pop(workspace, None)
 
     def list_accounts(self) -> dict[names.WorkspaceName, Account]:
         """Return the accounts by workspace."""
--- a/corianderrill/gateway/quota_lessor.py
+++ b/corianderrill/gateway/quota_lessor.py
@@ -63,14 +63,19 @@
         for role in self.roles:
             term = role.find_term(now)
             if term is not None and term.key == key and now >= term.started_at:
-                return self._get_ledger(term)
+                return self._get_ledger(term, now)
         return None
 
-    def _get_ledger(self, term: SlotTerm) -> quota_ledger.QuotaLedger:
+    def _get_ledger(self, term: SlotTerm, now: float) -> quota_ledger.QuotaLedger:
+        """Return the ledger of a term.
+
+        A ledger that was dropped in the same term has granted what this one does not
+        know of. So each ledger counts from when it is made.
+        """
         ledger = self._ledgers.get(term.key)
         if ledger is None or ledger.term != term.id:
             self._end_ledger(term.key)
-            ledger = quota_ledger.QuotaLedger(term.id, term.started_at)
+            ledger = quota_ledger.QuotaLedger(term.id, now)
             self._ledgers[term.key] = ledger
             self.log.record(quota_records.QuotaTermBegun(str(term.key), term.id))
         return ledger
@@ -84,8 +89,12 @@
                 )
             )
 
-    def drop_ended(self, now: float) -> None:
-        """Forget the ledgers of slots that this host no longer holds."""
+    def update_ledgers(self, now: float) -> None:
+        """Begin the ledgers of slots that this host holds, and end the others."""
+        for role in self.roles:
+            term = role.find_term(now)
+            if term is not None:
+                self.find_ledger(term.key, now)
         for key, ledger in list(self._ledgers.items()):
             if not any(
                 term is not None and term.id == ledger.term
@@ -191,7 +200,16 @@
             if ledger is not None:
                 yield from ledger.list_accounts().items()
 
-    def retain(self, workspaces: set[names.WorkspaceName]) -> None:
-        """Forget the workspaces that the configuration no longer has."""
+    def drop_idle(self, now: float) -> None:
+        """Forget unknown workspaces that nobody asks for."""
         for ledger in self._ledgers.values():
-            ledger.retain(workspaces)
+            for workspace, account in ledger.list_accounts().items():
+                if account.is_idle(now) and not self._is_known(workspace):
+                    ledger.discard(workspace)
+
+    def _is_known(self, workspace: names.WorkspaceName) -> bool:
+        try:
+            self.find_terms_of(workspace)
+        except KeyError:
+            return False
+        return True
--- a/corianderrill/gateway/quota_messages.py
+++ b/corianderrill/gateway/quota_messages.py
@@ -65,6 +65,7 @@
     retry_after_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DELAY_S)] = 0.0
     units: _Count = 0
     total: _Count = 0
+    overdrawn: _Count = 0
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True):
@@ -101,7 +102,11 @@
 def build_grant(grant: quota_ledger.Grant) -> WorkspaceGrant:
     """Return the grant for an answer."""
     return WorkspaceGrant(
-        grant.granted, round(grant.retry_after_s, 3), grant.units, grant.total
+        grant.granted,
+        round(grant.retry_after_s, 3),
+        grant.units,
+        grant.total,
+        grant.overdrawn,
     )
 
 
--- a/corianderrill/gateway/quota_upkeep.py
+++ b/corianderrill/gateway/quota_upkeep.py
@@ -32,16 +32,17 @@
         for workspace in self.quotas.allowances.list_due(now):
             self.quotas.renew_lease(workspace, now)
         self.quotas.client.send_returned()
-        self.quotas.lessor.drop_ended(now)
+        self.quotas.lessor.update_ledgers(now)
         if now - self._cleaned_at >= CLEANUP_INTERVAL_S:
             self._cleaned_at = now
             self._drop_idle(now)
 
     def _drop_idle(self, now: float) -> None:
+        window_s = self.quotas.bounds.window_s
         for workspace, allowance in self.quotas.allowances.items():
-            terms = self.quotas.find_terms_if_known(workspace)
-            if terms is None or allowance.is_idle(terms, now):
+            if allowance.is_idle(window_s, now):
                 self.quotas.allowances.discard(workspace)
+        self.quotas.lessor.drop_idle(now)
         self.quotas.client.retain(self.quotas.directory.list_keys())
 
 
--- a/corianderrill/gateway/quota_verdicts.py
+++ b/corianderrill/gateway/quota_verdicts.py
@@ -21,7 +21,8 @@
 class Admission:
     """A request that may run, and what it takes of the quota of its workspace.
 
-    `term` is the ledger of its token, empty if it was admitted under a lease.
+    `key` is the slot of the lessor that admitted it, None if a lease did. `term` is the
+    ledger of its token, empty if it took none that could go back.
     """
 
     workspace: names.WorkspaceName
--- a/corianderrill/gateway/quotas.py
+++ b/corianderrill/gateway/quotas.py
@@ -149,9 +149,7 @@
         if configuration is self._configuration:
             return
         self._configuration = configuration
-        workspaces = set(configuration.workspaces_by_name)
-        self.placement.retain(workspaces)
-        self.lessor.retain(workspaces)
+        self.placement.retain(set(configuration.workspaces_by_name))
 
     def find_terms(
         self, workspace: names.WorkspaceName
@@ -266,8 +264,9 @@
         """Decide as the quota lessor of the workspace."""
         grant = self._ask_ledger(request.workspace, request.terms, ledger, 1, now)
         if grant.granted:
+            term = quota_ledger.Term("") if grant.overdrawn else ledger.term
             admission = quota_verdicts.Admission(
-                request.workspace, now, request.key, ledger.term
+                request.workspace, now, request.key, term
             )
             self._admit(request, quota_verdicts.Decision.TOKEN, admission)
         else:
@@ -375,6 +374,8 @@
         if admission.key is None:
             self.allowances.get(admission.workspace).give_back(admission.admitted_at)
             return
+        if not admission.term:
+            return
         now = self.loop.now()
         ledger = self.lessor.find_ledger(admission.key, now)
         if ledger is not None and ledger.term == admission.term:
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -8,6 +8,7 @@
     connections,
     event_log,
     quota_client,
+    quota_ledger,
     quota_messages,
     quota_records,
     quota_terms,
@@ -222,6 +223,7 @@
 
 def test_tokens_of_another_term_are_not_taken_back():
     host = builders.Host(roles=(builders.Role(),))
+    host.quotas.lessor.update_ledgers(0.0)
     for term, more in (("t-0", 0), ("t-1", 1)):
         ask = quota_messages.WorkspaceAsk(builders.WORKSPACE, 1)
         message = quota_messages.Message("h-2", term, 1, "", "zone-a", False, [ask])
@@ -301,6 +303,57 @@
     assert len(host.log.list_of(quota_records.QuotaTermEnded)) == 1
 
 
+# Guards against a full bucket when a slot lease was renewed just after it had become
+# uncertain: the dropped ledger is not known any more.
+def test_ledger_that_was_dropped_in_its_term_begins_anew():
+    role = builders.Role(until=101.0)
+    host = builders.Host(roles=(role,))
+    host.upkeep.tick(100.0)
+    host.loop.time = 150.0
+    host.upkeep.tick(150.0)
+    role.until = 1e9
+    verdicts = [host.decide()[0] for _ in range(3)]
+    admitted = [isinstance(v, quota_verdicts.Admission) for v in verdicts]
+    assert admitted == [True, False, False]
+
+
+# Guards against a full bucket for a workspace that was removed and added again.
+def test_removed_workspace_that_comes_back_has_its_former_tokens():
+    host = builders.Host(roles=(builders.Role(),))
+    host.upkeep.tick(100.0)
+    host.loop.time = 140.0
+    while isinstance(host.decide()[0], quota_verdicts.Admission):
+        pass
+    host.publish(version=2)
+    host.upkeep.tick(140.1)
+    host.publish((10.0, 10.0), version=3)
+    assert isinstance(host.decide()[0], quota_verdicts.Refusal)
+
+
+def test_workspace_that_is_gone_for_long_is_forgotten():
+    host = builders.Host(roles=(builders.Role(),))
+    host.upkeep.tick(100.0)
+    host.decide()
+    host.publish((None, 0.0), version=2)
+    host.view.configuration.workspaces_by_name.clear()
+    host.upkeep.tick(100.0 + quota_ledger.IDLE_S)
+    host.quotas.lessor.drop_idle(100.0 + quota_ledger.IDLE_S)
+    ledger = host.quotas.lessor.find_ledger(builders.KEY, 161.0)
+    assert not ledger.list_accounts()
+
+
+def test_overdrawn_requests_return_no_token():
+    host = builders.Host()
+    first = [host.decide() for _ in range(2)]
+    wire = quota_messages.WorkspaceGrant(1, 0.0, 0, 9, 1)
+    reply = quota_messages.encode_answer(quota_messages.Answer("t-1", [wire]))
+    answer(host, 0, connections.RawReply(200, [], reply))
+    host.quotas.give_back(first[0][0])
+    answer(host, 1, grant(0, 0.5))
+    host.upkeep.tick(host.loop.now())
+    assert len(host.pool.exchanges) == 2
+
+
 def test_slot_of_a_zone_that_wants_it_is_offered():
     offered = []
     role = builders.Role()
