Choose replicas by an estimate of their load that ages, and spill over in part

The median of the last five latencies shows a slowdown late and keeps it for seconds, so aggregators avoid a replica long after its pause and send to other zones meanwhile. The estimate now weighs replies by age and returns to what is usual; the share of attempts that leave the zone grows with the excess of the cost there. X-Server-Load, where a replica sends it, counts as half of the estimate.

--- /dev/null
+++ b/corianderrill/gateway/replica_load.py
@@ -0,0 +1,91 @@
+"""How loaded a replica is, as far as its latest replies tell.
+
+The estimate is a multiple of the usual latency. What a reply showed counts less the
+older it is, until only what is usual for the replica is left. So an old observation
+neither attracts nor repels requests for long, and hosts whose last looks differ do not
+all move to the same replica.
+"""
+
+import dataclasses
+
+from corianderrill.gateway import replies
+
+# Slowdowns of replicas last for about half a second; older replies say little of them.
+HALF_LIFE_S = 0.4
+# The usual latency counts as much as this many replies of just now.
+USUAL_WEIGHT = 0.5
+# A longer latency is mostly a pause, which is over when its reply comes; a single one
+# must not move requests to another zone.
+MAX_RATIO = 7.5
+# Share of one reply in the latency and the queue that are usual for the replica.
+USUAL_GAIN = 0.05
+# A queue of some requests is worked off within this order of time.
+QUEUE_HALF_LIFE_S = 0.05
+WORK_TIME_HALF_LIFE_S = 0.3
+# A report that was not followed by others is no longer used after this time.
+MAX_REPORT_AGE_S = 2.0
+# Weight of reported queue and work time beside the observed latency.
+REPORT_WEIGHT = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaLoad:
+    """What the latest replies showed.
+
+    `usual_ratio` and `usual_queue` change slowly; `ratio_sum` and `ratio_weight` decay
+    since `observed_at`. `report` was received at `reported_at`. Times are in seconds of
+    the host's monotonic clock.
+    """
+
+    usual_ratio: float = 1.0
+    ratio_sum: float = 0.0
+    ratio_weight: float = 0.0
+    observed_at: float = 0.0
+    report: replies.LoadReport | None = None
+    reported_at: float = 0.0
+    usual_queue: float = 0.0
+
+    def record_latency_ratio(self, ratio: float, now: float) -> None:
+        """Record a latency as a multiple of the expected one."""
+        bounded = min(ratio, MAX_RATIO)
+        decay = 0.5 ** (max(now - self.observed_at, 0.0) / HALF_LIFE_S)
+        self.ratio_sum = decay * self.ratio_sum + bounded
+        self.ratio_weight = decay * self.ratio_weight + 1.0
+        self.observed_at = now
+        self.usual_ratio += USUAL_GAIN * (bounded - self.usual_ratio)
+
+    def record_report(self, report: replies.LoadReport, now: float) -> None:
+        """Record what the replica says of itself."""
+        queue = report.running + report.waiting
+        self.usual_queue += USUAL_GAIN * (queue - self.usual_queue)
+        self.report = report
+        self.reported_at = now
+
+    def has_fresh_report(self, now: float) -> bool:
+        """Return whether the replica said recently how loaded it is."""
+        return self.report is not None and now - self.reported_at < MAX_REPORT_AGE_S
+
+    def estimate_slowness(self, now: float) -> float:
+        """Return the latency to expect, as a multiple of that of the route."""
+        decay = 0.5 ** (max(now - self.observed_at, 0.0) / HALF_LIFE_S)
+        return (USUAL_WEIGHT * self.usual_ratio + decay * self.ratio_sum) / (
+            USUAL_WEIGHT + decay * self.ratio_weight
+        )
+
+    def estimate_reported_slowness(self, sent_since: int, now: float) -> float:
+        """Return the same by the last report; `sent_since` requests were sent after it.
+
+        A request waits for what is ahead of it beyond the slots that are free.
+        """
+        age_s = max(now - self.reported_at, 0.0)
+        queue_decay = 0.5 ** (age_s / QUEUE_HALF_LIFE_S)
+        reported_queue = self.report.running + self.report.waiting
+        queue = (
+            self.usual_queue
+            + queue_decay * (reported_queue - self.usual_queue)
+            + sent_since
+        )
+        work_decay = 0.5 ** (age_s / WORK_TIME_HALF_LIFE_S)
+        work = 1.0 + work_decay * (self.report.work_time_ratio - 1.0)
+        slots = self.report.slots
+        return work * (1.0 + max(queue + 1.0 - slots, 0.0) / slots)
--- a/corianderrill/gateway/replica_notices.py
+++ b/corianderrill/gateway/replica_notices.py
@@ -1,4 +1,4 @@
-"""What replicas announce in their replies: that they leave, or want no requests.
+"""What replicas announce in their replies: leaving, a wish for no requests, their load.
 
 A replica that leaves counts as draining from then on, whatever the store says of that
 process. One that answers 503 with `Retry-After` gets no request of this host until the
@@ -8,7 +8,14 @@
 import dataclasses
 
 from corianderrill import metrics
-from corianderrill.gateway import event_log, pools, replicas, replies, view
+from corianderrill.gateway import (
+    event_log,
+    load_records,
+    pools,
+    replicas,
+    replies,
+    view,
+)
 
 # A replica that asks for more time is asked again after this one.
 MAX_QUIET_S = 300.0
@@ -55,6 +62,19 @@
                 pool.reject_held_back()
             case replies.InvalidRetryAfter(text):
                 self._record_quiet(replica, 0.0, f"invalid: {text[:MAX_LOGGED_TEXT]}")
+        match reply.load_report:
+            case replies.LoadReport():
+                replica.load.record_report(reply.load_report, now)
+            case replies.InvalidLoadReport(text):
+                self._record_invalid_load(replica, text)
+
+    def _record_invalid_load(self, replica: replicas.Replica, text: str) -> None:
+        self.meter.count(metrics.GATEWAY_INVALID_LOAD_REPORTS)
+        self.log.record(
+            load_records.LoadReportInvalid(
+                replica.id, replica.registration.service, text[:MAX_LOGGED_TEXT]
+            )
+        )
 
     def record_leaving(self, process: LeavingProcess, now: float) -> None:
         """Apply what another host was told by a replica."""
--- a/corianderrill/gateway/replica_selection.py
+++ b/corianderrill/gateway/replica_selection.py
@@ -1,14 +1,15 @@
-"""Selection of the replica for one attempt: the one with the lowest estimated cost.
+"""Selection of the replica for one attempt: the estimated cost of each candidate.
 
 The cost is the expected time to a usable reply, in seconds. It grows with the replica's
-slowness, pending attempts and failure rate, and is higher in another zone.
+load, pending attempts and failure rate, and is higher in another zone. `load_balance`
+chooses by the costs.
 """
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from corianderrill import names
-from corianderrill.gateway import replicas, zone_health
+from corianderrill.gateway import load_balance, replicas, zone_health
 
 # Traffic between availability zones costs money, and its network latency is higher.
 CROSS_ZONE_COST_FACTOR = 2.6
@@ -19,8 +20,10 @@
 # the retry budget covers only few failures, but a rare failure must not move requests
 # to another zone.
 COST_DOUBLING_FAILURE_RATE = 0.13
-# Largest random increase of a cost, as a share of it.
-COST_JITTER = 0.05
+
+
+def _ignore_choice(_choice: load_balance.Choice) -> None:
+    """Take the place of a callback."""
 
 
 def select_replica(
@@ -31,24 +34,33 @@
     now: float,
     rng: random.Random,
     exclude: Collection[replicas.Replica] = (),
+    on_choice: Callable[[load_balance.Choice], None] = _ignore_choice,
 ) -> replicas.Replica | None:
-    """Return the candidate with the lowest cost, or None if there is none.
+    """Return the candidate that `load_balance` chooses, or None if there is none.
 
     An unavailable candidate is returned only if no candidate is available, a replaced
-    one never.
+    one never. `on_choice` is told of each choice.
     """
     untried = [replica for replica in candidates if replica not in exclude]
     eligible = [replica for replica in untried if replica.is_available(now)]
     eligible = eligible or [replica for replica in untried if not replica.is_replaced]
-    if len(eligible) < 2:
-        return eligible[0] if eligible else None
-    return min(
-        eligible,
-        key=lambda replica: (
-            compute_cost_s(replica, own_zone, zone_detector, expected_latency_s, now)
-            * (1.0 + COST_JITTER * rng.random())
-        ),
+    if not eligible:
+        return None
+    choice = load_balance.choose(
+        [
+            load_balance.Candidate(
+                replica,
+                compute_cost_s(
+                    replica, own_zone, zone_detector, expected_latency_s, now
+                ),
+                replica.registration.zone == own_zone,
+            )
+            for replica in eligible
+        ],
+        rng,
     )
+    on_choice(choice)
+    return choice.replica
 
 
 def compute_cost_s(
@@ -59,11 +71,7 @@
     now: float,
 ) -> float:
     """Return the expected time to a usable reply, in seconds, with all penalties."""
-    cost_s = expected_latency_s * replica.estimate_slowness(now)
-    if replica.pending_attempts:
-        cost_s = max(cost_s, replica.get_oldest_attempt_age_s(now))
-        slots = replica.registration.slots
-        cost_s *= 1.0 + len(replica.pending_attempts) / slots
+    cost_s = load_balance.estimate_latency_s(replica, expected_latency_s, now)
     failure_ratio = replica.estimate_failure_rate(now) / COST_DOUBLING_FAILURE_RATE
     cost_s *= 1.0 + failure_ratio**2
     if replica.registration.zone != own_zone:
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -14,6 +14,7 @@
 from typing import NewType
 
 from corianderrill import names
+from corianderrill.gateway import replica_load
 
 InstanceId = NewType("InstanceId", str)
 
@@ -88,7 +89,8 @@
     decay with time. `rate_limit_per_s` is how many requests a second the replica takes
     from all hosts together, None without a limit; it was last seen at
     `rate_limit_seen_at`, and this host has used its share of it up to `next_slot_at`.
-    Until `quiet_until` the replica wants no requests of this host.
+    Until `quiet_until` the replica wants no requests of this host. `load` estimates how
+    loaded it is now.
     """
 
     registration: Registration
@@ -112,6 +114,9 @@
     rate_limit_seen_at: float = 0.0
     next_slot_at: float = 0.0
     quiet_until: float = 0.0
+    load: replica_load.ReplicaLoad = dataclasses.field(
+        default_factory=replica_load.ReplicaLoad
+    )
 
     @property
     def id(self) -> InstanceId:
@@ -174,6 +179,7 @@
         while samples and now - samples[0].received_at > MAX_SAMPLE_AGE_S:
             samples.popleft()
         samples.append(LatencySample(ratio, now))
+        self.load.record_latency_ratio(ratio, now)
         median = statistics.median_low(sample.ratio for sample in samples)
         self.slowness = max(median, MIN_SLOWNESS)
         self.slowness_half_life_s = self._compute_slowness_half_life()
@@ -182,17 +188,21 @@
     def _compute_slowness_half_life(self) -> float:
         if len(self.latency_samples) < 2:
             return MIN_SLOWNESS_HALF_LIFE_S
-        span_s = (
-            self.latency_samples[-1].received_at - self.latency_samples[0].received_at
-        )
         slowness_half_life_s = (
-            HALF_LIFE_SAMPLE_INTERVALS * span_s / (len(self.latency_samples) - 1)
+            HALF_LIFE_SAMPLE_INTERVALS
+            * self.get_sample_span_s()
+            / (len(self.latency_samples) - 1)
         )
         return min(
             max(slowness_half_life_s, MIN_SLOWNESS_HALF_LIFE_S),
             MAX_SLOWNESS_HALF_LIFE_S,
         )
 
+    def get_sample_span_s(self) -> float:
+        """Return the time between the first and last of at least one sample."""
+        samples = self.latency_samples
+        return samples[-1].received_at - samples[0].received_at
+
     def _record_outcome(self, failure: float, now: float) -> None:
         decay = self._compute_decay(now)
         decay = min(decay, (MAX_OUTCOME_WEIGHT - 1.0) / max(self.outcome_weight, 1.0))
@@ -222,9 +232,11 @@
             slowness = 1.0 + (slowness - 1.0) * 0.5 ** (
                 age_s / self.slowness_half_life_s
             )
-        if now < self.warmup_ends_at:
-            slowness *= WARMUP_SLOWNESS_FACTOR
-        return slowness
+        return slowness * self.get_warmup_factor(now)
+
+    def get_warmup_factor(self, now: float) -> float:
+        """Return how much slower the replica is than once it has warmed up."""
+        return WARMUP_SLOWNESS_FACTOR if now < self.warmup_ends_at else 1.0
 
     def get_oldest_attempt_age_s(self, now: float) -> float:
         """Return the age of the oldest pending attempt, in seconds; 0 without one."""
--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -51,6 +51,27 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a replica says of its load when it replies.
+
+    `running` and `waiting` count requests; `slots` is how many it executes at once;
+    `work_time_ratio` is its work time as a multiple of the usual one.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    work_time_ratio: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InvalidLoadReport:
+    """A load report that is not understood."""
+
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """A complete, decoded reply.
@@ -58,8 +79,8 @@
     `signature` proves which replica sent the reply; `echoed_request_id` names the
     request that it answers. `not_executed` and `is_misdirected` say that the server
     did not execute the request. `rate_limit` is None if the replica advertises none,
-    `retry_after` if it does not ask for a pause. `is_leaving` says that its process is
-    about to stop.
+    `retry_after` if it does not ask for a pause, `load_report` if it sends none.
+    `is_leaving` says that its process is about to stop.
     """
 
     status: int
@@ -73,6 +94,7 @@
     rate_limit: RateLimit | InvalidRateLimit | None = None
     retry_after: RetryAfter | InvalidRetryAfter | None = None
     is_leaving: bool = False
+    load_report: LoadReport | InvalidLoadReport | None = None
 
 
 def classify_reply(reply: Reply, request_id: names.RequestId) -> AttemptOutcome:
--- a/corianderrill/measures/balance.py
+++ b/corianderrill/measures/balance.py
@@ -19,8 +19,10 @@
 from corianderrill import names
 from corianderrill.gateway import (
     latency,
+    load_balance,
     replica_selection,
     replicas,
+    replies,
     zone_health,
 )
 
@@ -385,8 +387,9 @@
         if self._pattern.sends_load:
             waiting = server.count_waiting(self._now)
             running = server.count_pending(self._now) - waiting
-            percent = 100.0 * server.get_factor(self._now)
-            report = (running, waiting, SLOTS, percent)
+            report = replies.LoadReport(
+                running, waiting, SLOTS, server.get_factor(self._now)
+            )
         self._schedule(
             self._now + delay_s,
             self._receive,
@@ -401,7 +404,7 @@
         request: Request,
         replica: replicas.Replica,
         attempt: object,
-        result: tuple[float, tuple[int, int, int, float] | None],
+        result: tuple[float, replies.LoadReport | None],
     ) -> None:
         sent_at, report = result
         estimator = self._estimators[request.kind]
@@ -411,17 +414,12 @@
         )
         estimator.record(latency_s)
         if report is not None:
-            self._apply_report(replica, report)
+            replica.load.record_report(report, self._now)
         if request.ended_at is None:
             request.ended_at = self._now
             if request.is_measured:
                 self._totals.latencies_s.append(self._now - request.started_at)
 
-    def _apply_report(
-        self, replica: replicas.Replica, report: tuple[int, int, int, float]
-    ) -> None:
-        """Store what the replica says of its load."""
-
     def _receive_refusal(
         self, request: Request, replica: replicas.Replica, attempt: object
     ) -> None:
@@ -465,22 +463,39 @@
 def choose_lowest_cost(
     chooser: Chooser, eligible: Sequence[replicas.Replica], now: float
 ) -> replicas.Replica:
-    """Return the replica with the lowest cost, as before loads were balanced."""
+    """Return the replica with the lowest cost by the median of its last latencies.
+
+    This is how replicas were selected before `load_balance`.
+    """
     return min(
         eligible,
         key=lambda replica: (
-            replica_selection.compute_cost_s(
-                replica,
-                chooser.zone,
-                chooser.zone_detector,
-                chooser.expected_latency_s,
-                now,
-            )
-            * (1.0 + 0.05 * chooser.rng.random())
+            _compute_median_cost_s(chooser, replica, now)
+            * (1.0 + load_balance.COST_JITTER * chooser.rng.random())
         ),
     )
 
 
+def _compute_median_cost_s(
+    chooser: Chooser, replica: replicas.Replica, now: float
+) -> float:
+    cost_s = chooser.expected_latency_s * replica.estimate_slowness(now)
+    if replica.pending_attempts:
+        cost_s = max(cost_s, replica.get_oldest_attempt_age_s(now))
+        cost_s *= 1.0 + len(replica.pending_attempts) / SLOTS
+    failure_ratio = (
+        replica.estimate_failure_rate(now)
+        / replica_selection.COST_DOUBLING_FAILURE_RATE
+    )
+    cost_s *= 1.0 + failure_ratio**2
+    if replica.registration.zone == chooser.zone:
+        return cost_s
+    return (
+        replica_selection.CROSS_ZONE_COST_FACTOR * cost_s
+        + replica_selection.CROSS_ZONE_PENALTY_S
+    )
+
+
 def choose_as_gateway(
     chooser: Chooser, eligible: Sequence[replicas.Replica], now: float
 ) -> replicas.Replica:
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -234,6 +234,9 @@
     ("notice",),
     2,
 )
+GATEWAY_INVALID_LOAD_REPORTS = _count(
+    "gateway_invalid_load_reports", "Load reports of replicas that were ignored."
+)
 GATEWAY_BROKEN_EXCHANGES = _count(
     "gateway_broken_exchanges",
     "Connections that broke before a reply, by what became of the replica.",
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -31,6 +31,12 @@
 _RATE_LIMIT_REPLY_HEADER = b"server-limit"
 # Set to 1 by a replica that leaves, in all its replies.
 _LEAVING_REPLY_HEADER = b"server-leaving"
+# Requests that run and wait, slots, and the percentage of the usual work time.
+_LOAD_REPLY_HEADER = b"x-server-load"
+# A replica that is slower or faster than this is treated alike.
+MIN_WORK_TIME_RATIO = 0.25
+MAX_WORK_TIME_RATIO = 16.0
+MAX_REPORTED_REQUESTS = 10_000
 # Beside status 503: the seconds in which the replica wants no requests of this host.
 _RETRY_AFTER_REPLY_HEADER = b"retry-after"
 STATUS_UNAVAILABLE = 503
@@ -46,6 +52,10 @@
 # Tells the sender of a request that it was not executed.
 NOT_EXECUTED_HEADER = ("X-Not-Executed", "1")
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+_LOAD_REPORT = re.compile(
+    r"(?P<running>[0-9]{1,12})\s*,\s*(?P<waiting>[0-9]{1,12})\s*,"
+    r"\s*(?P<slots>[0-9]{1,12})\s*,\s*(?P<percent>[0-9]{1,12}(\.[0-9]{1,12})?)"
+)
 # Replaced on a sub-request by values of the gateway.
 _OVERWRITTEN_HEADERS = frozenset(
     (DEADLINE_MS_HEADER.lower(), EXPECT_INSTANCE_HEADER.lower())
@@ -174,6 +184,28 @@
         rate_limit=_decode_rate_limit(headers_by_name.get(_RATE_LIMIT_REPLY_HEADER)),
         retry_after=_decode_retry_after(raw),
         is_leaving=headers_by_name.get(_LEAVING_REPLY_HEADER, b"").strip() == b"1",
+        load_report=_decode_load_report(headers_by_name.get(_LOAD_REPLY_HEADER)),
+    )
+
+
+def _decode_load_report(
+    value: bytes | None,
+) -> replies.LoadReport | replies.InvalidLoadReport | None:
+    """Return what a replica says of its load, within bounds."""
+    if value is None:
+        return None
+    text = value.decode("latin-1").strip()
+    matched = _LOAD_REPORT.fullmatch(text)
+    if matched is None or int(matched["slots"]) == 0:
+        return replies.InvalidLoadReport(text)
+    work_time_ratio = float(matched["percent"]) / 100
+    return replies.LoadReport(
+        running=min(int(matched["running"]), MAX_REPORTED_REQUESTS),
+        waiting=min(int(matched["waiting"]), MAX_REPORTED_REQUESTS),
+        slots=min(int(matched["slots"]), MAX_REPORTED_REQUESTS),
+        work_time_ratio=min(
+            max(work_time_ratio, MIN_WORK_TIME_RATIO), MAX_WORK_TIME_RATIO
+        ),
     )
 
 
