--- a/corianderrill/gateway/load_balance.py
+++ b/corianderrill/gateway/load_balance.py
@@ -11,7 +11,7 @@
 
 import enum
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from corianderrill.gateway import replica_load, replicas
@@ -40,14 +40,6 @@
     NO_OWN = "no-own"
 
 
-class Candidate(NamedTuple):
-    """A replica with its cost in seconds, and whether it is in the own zone."""
-
-    replica: replicas.Replica
-    cost_s: float
-    is_near: bool
-
-
 class Choice(NamedTuple):
     """The chosen replica, and why."""
 
@@ -55,40 +47,58 @@
     reason: Reason
 
 
-def choose(candidates: Sequence[Candidate], rng: random.Random) -> Choice:
-    """Return the choice among at least one candidate."""
-    if len(candidates) == 1:
-        return Choice(candidates[0].replica, Reason.ONLY)
-    near = [candidate for candidate in candidates if candidate.is_near]
-    if not near:
-        return Choice(_draw_cheapest(candidates, rng), Reason.NO_OWN)
-    if len(near) < len(candidates):
-        far = [candidate for candidate in candidates if not candidate.is_near]
-        if rng.random() < compute_spill_share(near, far):
-            return Choice(_draw_cheapest(far, rng), Reason.SPILL)
-    return Choice(_draw_cheapest(near, rng), Reason.OWN_ZONE)
-
+def choose(
+    near: Sequence[replicas.Replica],
+    far: Sequence[replicas.Replica],
+    compute_cost_s: Callable[[replicas.Replica], float],
+    min_far_cost_s: float,
+    rng: random.Random,
+) -> Choice:
+    """Return the choice among the replicas of the own zone and of others.
 
-def compute_spill_share(near: Sequence[Candidate], far: Sequence[Candidate]) -> float:
+    At least one is given. No replica elsewhere costs less than `min_far_cost_s`, so
+    most choices need no look at them.
+    """
+    if not near:
+        reason = Reason.ONLY if len(far) == 1 else Reason.NO_OWN
+        return Choice(_draw_cheapest(far, compute_cost_s, rng), reason)
+    if not far and len(near) == 1:
+        return Choice(near[0], Reason.ONLY)
+    near_costs_s = [compute_cost_s(replica) for replica in near]
+    lowest_near_s = min(near_costs_s)
+    if far and lowest_near_s > min_far_cost_s:
+        lowest_far_s = min(compute_cost_s(replica) for replica in far)
+        if rng.random() < compute_spill_share(lowest_near_s, lowest_far_s):
+            return Choice(_draw_cheapest(far, compute_cost_s, rng), Reason.SPILL)
+    if len(near) == 1:
+        return Choice(near[0], Reason.OWN_ZONE)
+    return Choice(_draw_by_cost(near, near_costs_s, rng), Reason.OWN_ZONE)
+
+
+def compute_spill_share(lowest_near_s: float, lowest_far_s: float) -> float:
     """Return the share of attempts that leave the own zone, 0 to 1."""
-    lowest_near_s = min(candidate.cost_s for candidate in near)
-    lowest_far_s = min(candidate.cost_s for candidate in far)
-    if lowest_near_s <= lowest_far_s:
-        return 0.0
     excess = lowest_near_s / lowest_far_s - 1.0
-    return min(excess / (FULL_SPILL_RATIO - 1.0), 1.0)
+    return min(max(excess / (FULL_SPILL_RATIO - 1.0), 0.0), 1.0)
 
 
 def _draw_cheapest(
-    candidates: Sequence[Candidate], rng: random.Random
+    candidates: Sequence[replicas.Replica],
+    compute_cost_s: Callable[[replicas.Replica], float],
+    rng: random.Random,
 ) -> replicas.Replica:
     if len(candidates) == 1:
-        return candidates[0].replica
-    cheapest = min(
-        candidates,
-        key=lambda candidate: candidate.cost_s * (1.0 + COST_JITTER * rng.random()),
-    )
-    return cheapest.replica
+        return candidates[0]
+    costs_s = [compute_cost_s(replica) for replica in candidates]
+    return _draw_by_cost(candidates, costs_s, rng)
+
+
+def _draw_by_cost(
+    candidates: Sequence[replicas.Replica],
+    costs_s: Sequence[float],
+    rng: random.Random,
+) -> replicas.Replica:
+    drawn = [cost_s * (1.0 + COST_JITTER * rng.random()) for cost_s in costs_s]
+    return candidates[drawn.index(min(drawn))]
 
 
 def estimate_latency_s(
@@ -102,12 +112,13 @@
     pending = replica.pending_attempts
     slowness = load.estimate_slowness(now)
     pending_weight = 1.0
-    if load.has_fresh_report(now):
+    if load.report is not None and load.has_fresh_report(now):
         sent_since = sum(at > load.reported_at for at in pending.values())
         reported = load.estimate_reported_slowness(sent_since, now)
         slowness += replica_load.REPORT_WEIGHT * (reported - slowness)
         pending_weight -= replica_load.REPORT_WEIGHT
-    slowness *= replica.get_warmup_factor(now)
+    if now < replica.warmup_ends_at:
+        slowness *= replicas.WARMUP_SLOWNESS_FACTOR
     if (
         replica.slowness >= MIN_LASTING_SLOWNESS
         and replica.get_sample_span_s() >= MIN_LASTING_S
--- a/corianderrill/gateway/replica_load.py
+++ b/corianderrill/gateway/replica_load.py
@@ -17,11 +17,15 @@
 # A longer latency is mostly a pause, which is over when its reply comes; a single one
 # must not move requests to another zone.
 MAX_RATIO = 7.5
+# However fast its replies were, a replica is expected to need this much.
+MIN_SLOWNESS = 0.5
 # Share of one reply in the latency and the queue that are usual for the replica.
 USUAL_GAIN = 0.05
 # A queue of some requests is worked off within this order of time.
 QUEUE_HALF_LIFE_S = 0.05
 WORK_TIME_HALF_LIFE_S = 0.3
+# From this multiple of the expected latency on, a replica counts as slowed down.
+MIN_SLOWED_RATIO = 1.7
 # A report that was not followed by others is no longer used after this time.
 MAX_REPORT_AGE_S = 2.0
 # Weight of reported queue and work time beside the observed latency.
@@ -62,15 +66,24 @@
         self.reported_at = now
 
     def has_fresh_report(self, now: float) -> bool:
-        """Return whether the replica said recently how loaded it is."""
+        """Return whether the last report, if any, is recent."""
         return self.report is not None and now - self.reported_at < MAX_REPORT_AGE_S
 
+    def is_slowed(self, now: float) -> bool:
+        """Return whether the replica is in a slowdown, or busy, as far as is known."""
+        if self.has_fresh_report(now) and (
+            self._estimate_work_time_ratio(now) >= MIN_SLOWED_RATIO
+        ):
+            return True
+        return self.estimate_slowness(now) >= MIN_SLOWED_RATIO
+
     def estimate_slowness(self, now: float) -> float:
         """Return the latency to expect, as a multiple of that of the route."""
-        decay = 0.5 ** (max(now - self.observed_at, 0.0) / HALF_LIFE_S)
-        return (USUAL_WEIGHT * self.usual_ratio + decay * self.ratio_sum) / (
+        decay = 0.5 ** ((now - self.observed_at) / HALF_LIFE_S)
+        slowness = (USUAL_WEIGHT * self.usual_ratio + decay * self.ratio_sum) / (
             USUAL_WEIGHT + decay * self.ratio_weight
         )
+        return max(slowness, MIN_SLOWNESS)
 
     def estimate_reported_slowness(self, sent_since: int, now: float) -> float:
         """Return the same by the last report; `sent_since` requests were sent after it.
@@ -85,7 +98,12 @@
             + queue_decay * (reported_queue - self.usual_queue)
             + sent_since
         )
-        work_decay = 0.5 ** (age_s / WORK_TIME_HALF_LIFE_S)
-        work = 1.0 + work_decay * (self.report.work_time_ratio - 1.0)
         slots = self.report.slots
-        return work * (1.0 + max(queue + 1.0 - slots, 0.0) / slots)
+        work_time_ratio = self._estimate_work_time_ratio(now)
+        return max(work_time_ratio, MIN_SLOWNESS) * (
+            1.0 + max(queue + 1.0 - slots, 0.0) / slots
+        )
+
+    def _estimate_work_time_ratio(self, now: float) -> float:
+        decay = 0.5 ** (max(now - self.reported_at, 0.0) / WORK_TIME_HALF_LIFE_S)
+        return 1.0 + decay * (self.report.work_time_ratio - 1.0)
--- a/corianderrill/gateway/replica_selection.py
+++ b/corianderrill/gateway/replica_selection.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from corianderrill import names
-from corianderrill.gateway import load_balance, replicas, zone_health
+from corianderrill.gateway import load_balance, replica_load, replicas, zone_health
 
 # Traffic between availability zones costs money, and its network latency is higher.
 CROSS_ZONE_COST_FACTOR = 2.6
@@ -46,17 +46,16 @@
     eligible = eligible or [replica for replica in untried if not replica.is_replaced]
     if not eligible:
         return None
+    near = [r for r in eligible if r.registration.zone == own_zone]
+    far = [r for r in eligible if r.registration.zone != own_zone]
+    min_cost_s = expected_latency_s * replica_load.MIN_SLOWNESS
     choice = load_balance.choose(
-        [
-            load_balance.Candidate(
-                replica,
-                compute_cost_s(
-                    replica, own_zone, zone_detector, expected_latency_s, now
-                ),
-                replica.registration.zone == own_zone,
-            )
-            for replica in eligible
-        ],
+        near,
+        far,
+        lambda replica: compute_cost_s(
+            replica, own_zone, zone_detector, expected_latency_s, now
+        ),
+        CROSS_ZONE_COST_FACTOR * min_cost_s + CROSS_ZONE_PENALTY_S,
         rng,
     )
     on_choice(choice)
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -232,11 +232,9 @@
             slowness = 1.0 + (slowness - 1.0) * 0.5 ** (
                 age_s / self.slowness_half_life_s
             )
-        return slowness * self.get_warmup_factor(now)
-
-    def get_warmup_factor(self, now: float) -> float:
-        """Return how much slower the replica is than once it has warmed up."""
-        return WARMUP_SLOWNESS_FACTOR if now < self.warmup_ends_at else 1.0
+        if now < self.warmup_ends_at:
+            slowness *= WARMUP_SLOWNESS_FACTOR
+        return slowness
 
     def get_oldest_attempt_age_s(self, now: float) -> float:
         """Return the age of the oldest pending attempt, in seconds; 0 without one."""
@@ -252,12 +250,14 @@
         """Return whether the replica has room and its last connection was opened.
 
         First attempts, not hedges, find out whether it can be reached again, and they
-        get what a rate limit allows.
+        get what a rate limit allows. A replica in a slowdown would answer the hedge
+        late, and the hedge would hold up others there.
         """
         return (
             self.is_available(now)
             and self.consecutive_connect_failures == 0
             and self.rate_limit_per_s is None
+            and not self.load.is_slowed(now)
         )
 
     def is_available(self, now: float) -> bool:
