--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -15,6 +15,8 @@
 import msgspec
 from eventlet import patcher
 
+from corianderrill.gateway import load_records
+
 # The unpatched module: eventlet's `write` would wait for a reader that is stuck.
 os = patcher.original("os")
 
@@ -426,6 +428,7 @@
     | BodyIncomplete
     | CallerLeft
     | InternalError
+    | load_records.LoadReportInvalid
 )
 
 
--- a/corianderrill/gateway/load_balance.py
+++ b/corianderrill/gateway/load_balance.py
@@ -29,17 +29,18 @@
 class Reason(enum.Enum):
     """Why a replica was chosen; the values are labels of a metric.
 
-    `ONLY` is the only candidate, `OWN_ZONE` the best of the own zone, `SPILL` one of
-    another zone since those of the own zone cost more, `NO_OWN` one of another zone
-    since the own zone has none.
+    `OWN_ZONE` is one of the own zone, `SPILL` one of another zone since those of the
+    own zone cost more, `NO_OWN` one of another zone since the own zone has none.
     """
 
-    ONLY = "only"
     OWN_ZONE = "own-zone"
     SPILL = "spill"
     NO_OWN = "no-own"
 
 
+CROSS_ZONE_REASONS = (Reason.SPILL, Reason.NO_OWN)
+
+
 class Choice(NamedTuple):
     """The chosen replica, and why."""
 
@@ -60,10 +61,9 @@
     most choices need no look at them.
     """
     if not near:
-        reason = Reason.ONLY if len(far) == 1 else Reason.NO_OWN
-        return Choice(_draw_cheapest(far, compute_cost_s, rng), reason)
+        return Choice(_draw_cheapest(far, compute_cost_s, rng), Reason.NO_OWN)
     if not far and len(near) == 1:
-        return Choice(near[0], Reason.ONLY)
+        return Choice(near[0], Reason.OWN_ZONE)
     near_costs_s = [compute_cost_s(replica) for replica in near]
     lowest_near_s = min(near_costs_s)
     if far and lowest_near_s > min_far_cost_s:
--- a/corianderrill/gateway/replica_selection.py
+++ b/corianderrill/gateway/replica_selection.py
@@ -34,12 +34,12 @@
     now: float,
     rng: random.Random,
     exclude: Collection[replicas.Replica] = (),
-    on_choice: Callable[[load_balance.Choice], None] = _ignore_choice,
+    on_cross_zone: Callable[[load_balance.Choice], None] = _ignore_choice,
 ) -> replicas.Replica | None:
     """Return the candidate that `load_balance` chooses, or None if there is none.
 
     An unavailable candidate is returned only if no candidate is available, a replaced
-    one never. `on_choice` is told of each choice.
+    one never. `on_cross_zone` is told of choices in another zone.
     """
     untried = [replica for replica in candidates if replica not in exclude]
     eligible = [replica for replica in untried if replica.is_available(now)]
@@ -58,7 +58,8 @@
         CROSS_ZONE_COST_FACTOR * min_cost_s + CROSS_ZONE_PENALTY_S,
         rng,
     )
-    on_choice(choice)
+    if choice.reason in load_balance.CROSS_ZONE_REASONS:
+        on_cross_zone(choice)
     return choice.replica
 
 
--- a/corianderrill/gateway/replica_selector.py
+++ b/corianderrill/gateway/replica_selector.py
@@ -8,11 +8,12 @@
 import math
 from collections.abc import Collection, Sequence
 
-from corianderrill import names
+from corianderrill import metrics, names
 from corianderrill.gateway import (
     attempts,
     latency,
     limit_plan,
+    load_balance,
     replica_selection,
     replicas,
     shared_state,
@@ -77,6 +78,13 @@
             now,
             shared.rng,
             tried,
+            self._count_cross_zone,
+        )
+
+    def _count_cross_zone(self, choice: load_balance.Choice) -> None:
+        zone = choice.replica.registration.zone
+        self.shared.meter.count(
+            metrics.GATEWAY_CROSS_ZONE_CHOICES, choice.reason.value, zone
         )
 
     def compute_pause_s(self, service: names.ServiceName, now: float) -> float:
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -234,6 +234,12 @@
     ("notice",),
     2,
 )
+GATEWAY_CROSS_ZONE_CHOICES = _count(
+    "gateway_cross_zone_choices",
+    "Choices of a replica in another zone (also when planning), by reason and zone.",
+    ("reason", "zone"),
+    32,
+)
 GATEWAY_INVALID_LOAD_REPORTS = _count(
     "gateway_invalid_load_reports", "Load reports of replicas that were ignored."
 )
