--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -18,6 +18,7 @@
 from corianderrill.gateway import (
     caller_log,
     evacuation_records,
+    load_records,
     quota_records,
     workspace_events,
 )
@@ -442,6 +443,7 @@
     | quota_records.Record
     | evacuation_records.ZoneEvacuation
     | evacuation_records.AttemptsWithdrawn
+    | load_records.LoadReportInvalid
 )
 
 
--- a/corianderrill/gateway/replica_selector.py
+++ b/corianderrill/gateway/replica_selector.py
@@ -8,12 +8,13 @@
 import math
 from collections.abc import Collection, Iterator, Sequence
 
-from corianderrill import names
+from corianderrill import metrics, names
 from corianderrill.gateway import (
     attempts,
     candidates,
     latency,
     limit_plan,
+    load_balance,
     regions,
     replica_selection,
     replicas,
@@ -102,6 +103,13 @@
             now,
             shared.rng,
             tried,
+            self._count_cross_zone,
+        )
+
+    def _count_cross_zone(self, choice: load_balance.Choice) -> None:
+        zone = choice.replica.registration.zone
+        self.shared.meter.count(
+            metrics.GATEWAY_CROSS_ZONE_CHOICES, choice.reason.value, zone
         )
 
     def compute_pause_s(self, service: names.ServiceName, now: float) -> float:
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -14,6 +14,7 @@
 from typing import NewType
 
 from corianderrill import names
+from corianderrill.gateway import replica_load
 
 InstanceId = NewType("InstanceId", str)
 
@@ -89,7 +90,7 @@
     from all hosts together, None without a limit; it was last seen at
     `rate_limit_seen_at`, and this host has used its share of it up to `next_slot_at`.
     Until `quiet_until` the replica wants no requests of this host. While its zone
-    `is_evacuated`, it gets none at all.
+    `is_evacuated`, it gets none at all. `load` estimates how loaded it is now.
     """
 
     registration: Registration
@@ -114,6 +115,9 @@
     next_slot_at: float = 0.0
     quiet_until: float = 0.0
     is_evacuated: bool = False
+    load: replica_load.ReplicaLoad = dataclasses.field(
+        default_factory=replica_load.ReplicaLoad
+    )
 
     @property
     def id(self) -> InstanceId:
@@ -176,6 +180,7 @@
         while samples and now - samples[0].received_at > MAX_SAMPLE_AGE_S:
             samples.popleft()
         samples.append(LatencySample(ratio, now))
+        self.load.record_latency_ratio(ratio, now)
         median = statistics.median_low(sample.ratio for sample in samples)
         self.slowness = max(median, MIN_SLOWNESS)
         self.slowness_half_life_s = self._compute_slowness_half_life()
@@ -184,17 +189,21 @@
     def _compute_slowness_half_life(self) -> float:
         if len(self.latency_samples) < 2:
             return MIN_SLOWNESS_HALF_LIFE_S
-        span_s = (
-            self.latency_samples[-1].received_at - self.latency_samples[0].received_at
-        )
         slowness_half_life_s = (
-            HALF_LIFE_SAMPLE_INTERVALS * span_s / (len(self.latency_samples) - 1)
+            HALF_LIFE_SAMPLE_INTERVALS
+            * self.get_sample_span_s()
+            / (len(self.latency_samples) - 1)
         )
         return min(
             max(slowness_half_life_s, MIN_SLOWNESS_HALF_LIFE_S),
             MAX_SLOWNESS_HALF_LIFE_S,
         )
 
+    def get_sample_span_s(self) -> float:
+        """Return the time between the first and last of at least one sample."""
+        samples = self.latency_samples
+        return samples[-1].received_at - samples[0].received_at
+
     def _record_outcome(self, failure: float, now: float) -> None:
         decay = self._compute_decay(now)
         decay = min(decay, (MAX_OUTCOME_WEIGHT - 1.0) / max(self.outcome_weight, 1.0))
@@ -246,12 +255,14 @@
         """Return whether the replica has room and its last connection was opened.
 
         First attempts, not hedges, find out whether it can be reached again, and they
-        get what a rate limit allows.
+        get what a rate limit allows. A replica in a slowdown would answer the hedge
+        late, and the hedge would hold up others there.
         """
         return (
             self.is_available(now)
             and self.consecutive_connect_failures == 0
             and self.rate_limit_per_s is None
+            and not self.load.is_slowed(now)
         )
 
     def is_available(self, now: float) -> bool:
