Limit the requests of all hosts to cold replicas in any second

A replica that has just started crashes well above warmup_per_s requests a second. Hosts now take it for cold until the latest of the time in its entry, X-Warmup-Ms in any reply, and warmup_s after its start or the return of its zone, and divide its limit by the shares that rate limits have.

--- a/corianderrill/gateway/availability.py
+++ b/corianderrill/gateway/availability.py
@@ -56,6 +56,8 @@
             for service in services
         ]
         if sum(map(bool, candidates_by_service)) < required:
+            # They come back at once when replicas return, which are cold then.
+            self.shared.request_rates.record(tuple(services), now)
             return _convert_shortage(
                 candidates.explain_shortage(
                     view, services, required, now, allowed_zones
--- /dev/null
+++ b/corianderrill/gateway/cold_records.py
@@ -0,0 +1,17 @@
+"""Log records of cold replicas."""
+
+import msgspec
+
+
+class ReplicaCold(msgspec.Struct, tag="cold", tag_field="event"):
+    """A replica whose service limits cold replicas turned cold, or warm again.
+
+    `source` is what told that it is cold, `store` or `reply`, or else `warm`, `gone`,
+    or a time in a reply that is no number. It is cold for `left_ms`.
+    """
+
+    replica: str
+    service: str
+    source: str
+    left_ms: float
+    limit_per_s: float | None
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -393,8 +393,7 @@
         attempt = attempts.Attempt(self, sub_request, replica, reason, now)
         sub_request.attempts.append(attempt)
         replica.record_start(attempt, now)
-        self.shared.rate_limits.acquire(replica, now)
-        attempt.used_limit = replica.rate_limit_per_s is not None
+        attempt.used_limit = self.shared.rate_limits.acquire(replica, now)
         service = self._service_configs.get(sub_request.service)
         max_connections = (
             DEFAULT_MAX_CONNECTIONS if service is None else service.max_connections
--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -70,6 +70,8 @@
     _total_weights: dict[tuple[names.ServiceName, names.ZoneName], float] = (
         dataclasses.field(default_factory=dict)
     )
+    # By service; sums over many hosts.
+    _demands: dict[names.ServiceName, float] = dataclasses.field(default_factory=dict)
     # Reports that a restored store lacks, and when their leases have run out.
     _lapse_at: dict[names.HostName, float] = dataclasses.field(default_factory=dict)
     _settled_at: dict[names.ServiceName, float] = dataclasses.field(
@@ -92,7 +94,7 @@
             self._reports.pop(host, None)
         else:
             self._reports[host] = report
-        self._total_weights.clear()
+        self._clear_sums()
         if host == self.own_host:
             self._update_settling(now)
         return True
@@ -114,7 +116,11 @@
         for host in lapsed:
             del self._lapse_at[host]
             self._reports.pop(host, None)
-            self._total_weights.clear()
+            self._clear_sums()
+
+    def _clear_sums(self) -> None:
+        self._total_weights.clear()
+        self._demands.clear()
 
     def _update_settling(self, now: float) -> None:
         own = self.get_own()
@@ -147,9 +153,35 @@
         if not own_weight:
             return UNPUBLISHED_FACTOR * even if total else even
         share = own_weight / total
-        if self._settled_at[service] <= now < self.lease_until:
-            return share
-        return min(share, even)
+        return share if self._is_settled(service, now) else min(share, even)
+
+    def _is_settled(self, service: names.ServiceName, now: float) -> bool:
+        """Return whether the others know this host's demand for a service."""
+        settled_at = self._settled_at.get(service, math.inf)
+        return settled_at <= now < self.lease_until
+
+    def estimate_demand_per_s(self, service: names.ServiceName, now: float) -> float:
+        """Return the demand of all hosts for a service, in requests a second.
+
+        Hosts without a report are taken to have as much as the others. It is infinite
+        while this host may not know the reports of the others.
+        """
+        if not self._is_settled(service, now):
+            return math.inf
+        demand_per_s = self._demands.get(service)
+        if demand_per_s is None:
+            demand_per_s = self._demands[service] = self._sum_demand_per_s(service)
+        return demand_per_s
+
+    def _sum_demand_per_s(self, service: names.ServiceName) -> float:
+        published = [
+            max(report.requests_per_s[service], MIN_DEMAND_PER_S)
+            for report in self._reports.values()
+            if service in report.requests_per_s
+        ]
+        if not published:
+            return math.inf
+        return sum(published) * max(self.host_count / len(published), 1.0)
 
     def _get_total_weight(
         self, service: names.ServiceName, zone: names.ZoneName
--- a/corianderrill/gateway/demand_reporter.py
+++ b/corianderrill/gateway/demand_reporter.py
@@ -81,7 +81,7 @@
 
     def _update(self) -> None:
         now = self.clock()
-        services = self.limits.list_services(self.view)
+        services = self.limits.list_services(self.view, now)
         lifted = self.limits.list_lifted(now)
         if not services and not lifted:
             self._withdraw_if_unused(now)
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -15,7 +15,7 @@
 import msgspec
 from eventlet import patcher
 
-from corianderrill.gateway import evacuation_records
+from corianderrill.gateway import cold_records, evacuation_records
 
 # The unpatched module: eventlet's `write` would wait for a reader that is stuck.
 os = patcher.original("os")
@@ -430,6 +430,7 @@
     | InternalError
     | evacuation_records.ZoneEvacuation
     | evacuation_records.AttemptsWithdrawn
+    | cold_records.ReplicaCold
 )
 
 
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -188,6 +188,9 @@
         self._store_relay.max_view_age_s = (
             MAX_RELAY_VIEW_AGE_PROBES * self._store_probe.interval_s
         )
+        if bounds.warmup is not None:
+            self._shared.rate_limits.cold.excess = bounds.warmup.excess
+            self._shared.rate_limits.cold.slack = bounds.warmup.slack
         self._view.max_unconfirmed_s = bounds.config_apply_s
         drain_fallback_s = DRAIN_FALLBACK_SHARE * bounds.drain_s
         # The time counts from the removal of the entry. This host may see the removal
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -5,6 +5,9 @@
 replica by its share of the limit (a generic cell rate algorithm). A request that finds
 no share left goes elsewhere or is not sent; none waits, since those with the most time
 would then use up the share of those with the least.
+
+Cold replicas have a limit as well, by the configuration of their service. Hosts divide
+it in the same way; `cold_limits` spaces the requests.
 """
 
 import dataclasses
@@ -13,7 +16,15 @@
 from collections.abc import Iterable
 
 from corianderrill import metrics, names
-from corianderrill.gateway import demand, event_log, replicas, replies, view
+from corianderrill.gateway import (
+    cold_limits,
+    cold_records,
+    demand,
+    event_log,
+    replicas,
+    replies,
+    view,
+)
 
 MAX_LOGGED_TEXT = 100
 # Unused time of a host's share that may be used later, for a short burst.
@@ -25,6 +36,8 @@
 MIN_TOTAL_PER_S = 1.0
 # How long a host tells the others that a limit was lifted.
 LIFT_NEWS_S = 5.0
+# A replica that says that it is cold for longer is asked again after this time.
+MAX_ANNOUNCED_COLD_S = 600.0
 
 
 class NoticeOutcome(enum.Enum):
@@ -40,26 +53,39 @@
 class RateLimits:
     """The rate limits that this host knows, each stored with its replica.
 
-    Times are in seconds of the host's monotonic clock.
+    `_limited` are those that advertise one, `_cold` those that are cold and have a
+    limit for that. Times are in seconds of the host's monotonic clock.
     """
 
     directory: demand.DemandDirectory
     log: event_log.EventLog
     meter: metrics.Recorder
     rng: random.Random
+    cold: cold_limits.ColdLimits = dataclasses.field(init=False)
+    _cold: set[replicas.Replica] = dataclasses.field(default_factory=set)
     _limited: set[replicas.Replica] = dataclasses.field(default_factory=set)
     _lifted_at: dict[replicas.InstanceId, float] = dataclasses.field(
         default_factory=dict
     )
 
+    def __post_init__(self) -> None:
+        self.cold = cold_limits.ColdLimits(self.rng)
+
     def record_reply(
         self, replica: replicas.Replica, reply: replies.Reply, now: float
     ) -> None:
-        """Apply what a reply says about the limit of its replica.
+        """Apply what a reply says about the limit of its replica and about its warmth.
 
         A reply without a limit lifts it only if it is a success: others may come from
         a layer of the replica that knows no limits.
         """
+        match reply.warmup:
+            case replies.Warmup(left_s):
+                bounded_s = min(left_s, MAX_ANNOUNCED_COLD_S)
+                replica.announced_cold_until = now + bounded_s
+                self._note_cold(replica, "reply", now)
+            case replies.InvalidWarmup(text) if replica.warmup_limit_per_s is not None:
+                self._record_cold(replica, f"invalid: {text[:MAX_LOGGED_TEXT]}", now)
         match reply.rate_limit:
             case replies.RateLimit(requests_per_s):
                 replica.rate_limit_seen_at = now
@@ -145,17 +171,75 @@
         )
 
     def has_any(self) -> bool:
-        """Return whether any replica advertises a limit."""
-        return bool(self._limited)
+        """Return whether any replica advertises a limit or is cold."""
+        return bool(self._limited or self._cold)
 
-    def list_services(self, current: view.View) -> set[names.ServiceName]:
+    def list_services(self, current: view.View, now: float) -> set[names.ServiceName]:
         """Return the services with a limited replica; forget those that are gone."""
         if self._limited:
             self._limited = set(current.list_rate_limited())
-        return {replica.registration.service for replica in self._limited}
+        if self._cold:
+            self._drop_warm(current, now)
+        limited = (*self._limited, *self._cold)
+        return {replica.registration.service for replica in limited}
+
+    def refresh_cold(self, current: view.View, now: float) -> None:
+        """Apply the limits of the configuration to all replicas; note the cold ones."""
+        configuration = current.configuration
+        if configuration is None:
+            return
+        if not configuration.has_warmup_limits and not self._cold:
+            return
+        for replica in current.list_replicas():
+            service = configuration.services.get(replica.registration.service)
+            replica.warmup_limit_per_s = (
+                None if service is None else service.warmup_requests_per_s
+            )
+            replica.service_warmup_s = 0.0 if service is None else service.warmup_s
+            self._note_cold(replica, "store", now)
+
+    def _note_cold(self, replica: replicas.Replica, source: str, now: float) -> None:
+        if replica.is_cold(now) and replica not in self._cold:
+            self._cold.add(replica)
+            self.meter.count(metrics.GATEWAY_COLD_REPLICAS, "cold")
+            self._record_cold(replica, source, now)
+
+    def _drop_warm(self, current: view.View, now: float) -> None:
+        in_use = set(current.list_replicas())
+        for replica in list(self._cold):
+            if replica.is_cold(now) and replica in in_use:
+                continue
+            self._cold.discard(replica)
+            self.meter.count(metrics.GATEWAY_COLD_REPLICAS, "warm")
+            self._record_cold(replica, "warm" if replica in in_use else "gone", now)
+
+    def _record_cold(self, replica: replicas.Replica, source: str, now: float) -> None:
+        left_s = max(replica.compute_cold_end() - now, 0.0)
+        self.log.record(
+            cold_records.ReplicaCold(
+                replica=replica.id,
+                service=replica.registration.service,
+                source=source,
+                left_ms=round(1000 * left_s),
+                limit_per_s=replica.warmup_limit_per_s,
+            )
+        )
+
+    def is_limited(self, replica: replicas.Replica, now: float) -> bool:
+        """Return whether a limit applies to a replica now."""
+        return replica.rate_limit_per_s is not None or replica.is_cold(now)
 
     def compute_delay_s(self, replica: replicas.Replica, now: float) -> float:
-        """Return when the limit allows the next request to a replica, in seconds."""
+        """Return when the limits allow the next request to a replica, in seconds."""
+        cold_delay_s = 0.0
+        if replica.is_cold(now):
+            slots = self._plan_slots(replica, now)
+            cold_delay_s = self.cold.compute_delay_s(replica, slots, now)
+        return max(cold_delay_s, self._compute_advertised_delay_s(replica, now))
+
+    def _compute_advertised_delay_s(
+        self, replica: replicas.Replica, now: float
+    ) -> float:
         if replica.rate_limit_per_s is None:
             return 0.0
         interval_s = self._compute_interval_s(replica, now)
@@ -167,23 +251,53 @@
     ) -> float:
         """Return the share of this host's demand that limits do not allow, 0 to 1."""
         allowed_per_s = sum(
-            1.0 / self._compute_interval_s(replica, now) for replica in limited
+            1.0 / self._compute_longest_interval_s(replica, now) for replica in limited
         )
         if demand_per_s <= 0.0:
             return 0.0
         return max(1.0 - USABLE_SHARE * allowed_per_s / demand_per_s, 0.0)
 
-    def acquire(self, replica: replicas.Replica, now: float) -> None:
-        """Use the share of this host for one request to a replica."""
+    def acquire(self, replica: replicas.Replica, now: float) -> bool:
+        """Use the share of this host for one request to a replica, if it is limited.
+
+        Return whether it is.
+        """
+        is_cold = replica.is_cold(now)
+        if is_cold:
+            self.cold.use_slot(replica, self._plan_slots(replica, now), now)
         if replica.rate_limit_per_s is None:
-            return
+            return is_cold
         interval_s = self._compute_interval_s(replica, now)
         replica.next_slot_at = max(replica.next_slot_at, now) + interval_s
+        return True
 
     def release(self, replica: replicas.Replica, now: float) -> None:
         """Give back what was acquired for a request that was not sent."""
         if replica.rate_limit_per_s is not None:
             replica.next_slot_at -= self._compute_interval_s(replica, now)
+        if replica.is_cold(now):
+            self.cold.return_slot(replica, self._plan_slots(replica, now))
+
+    def _compute_longest_interval_s(
+        self, replica: replicas.Replica, now: float
+    ) -> float:
+        intervals_s = []
+        if replica.rate_limit_per_s is not None:
+            intervals_s.append(self._compute_interval_s(replica, now))
+        if replica.is_cold(now):
+            intervals_s.append(self._plan_slots(replica, now).interval_s)
+        return max(intervals_s)
+
+    def _plan_slots(self, replica: replicas.Replica, now: float) -> cold_limits.Slots:
+        """Return the slots of this host for a cold replica."""
+        registration = replica.registration
+        directory = self.directory
+        return self.cold.plan_slots(
+            replica.warmup_limit_per_s,
+            directory.compute_share(registration.service, registration.zone, now),
+            directory.host_count,
+            directory.estimate_demand_per_s(registration.service, now),
+        )
 
     def _compute_interval_s(self, replica: replicas.Replica, now: float) -> float:
         registration = replica.registration
--- a/corianderrill/gateway/replica_selector.py
+++ b/corianderrill/gateway/replica_selector.py
@@ -131,9 +131,9 @@
         if not possible:
             return limit_plan.Need(math.inf, 0.0)
         available = [r for r in possible if r.is_available(now)] or possible
-        if any(replica.rate_limit_per_s is None for replica in available):
-            return limit_plan.Need(0.0, 0.0)
         limits = self.shared.rate_limits
+        if not all(limits.is_limited(replica, now) for replica in available):
+            return limit_plan.Need(0.0, 0.0)
         demand_per_s = self.shared.request_rates.estimate_per_s(service, now)
         return limit_plan.Need(
             min(limits.compute_delay_s(replica, now) for replica in available),
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import statistics
 from typing import NewType
 
@@ -90,6 +91,12 @@
     `rate_limit_seen_at`, and this host has used its share of it up to `next_slot_at`.
     Until `quiet_until` the replica wants no requests of this host. While its zone
     `is_evacuated`, it gets none at all.
+
+    `warmup_limit_per_s` is what it takes from all hosts together while it is cold, None
+    without a limit. It is cold until the latest of `warmup_ends_at`,
+    `announced_cold_until`, and `service_warmup_s` after `cold_since`: the start of its
+    process, or the return of its zone. `cold_slot_at` is the start of this host's next
+    slot for it, None if it has had none.
     """
 
     registration: Registration
@@ -114,6 +121,11 @@
     next_slot_at: float = 0.0
     quiet_until: float = 0.0
     is_evacuated: bool = False
+    warmup_limit_per_s: float | None = None
+    service_warmup_s: float = 0.0
+    cold_since: float = -math.inf
+    announced_cold_until: float = -math.inf
+    cold_slot_at: float | None = None
 
     @property
     def id(self) -> InstanceId:
@@ -224,7 +236,7 @@
             slowness = 1.0 + (slowness - 1.0) * 0.5 ** (
                 age_s / self.slowness_half_life_s
             )
-        if now < self.warmup_ends_at:
+        if now < self.warmup_ends_at or self.is_cold(now):
             slowness *= WARMUP_SLOWNESS_FACTOR
         return slowness
 
@@ -238,6 +250,18 @@
         """Return whether the replica wants no requests of this host now."""
         return now < self.quiet_until
 
+    def compute_cold_end(self) -> float:
+        """Return until when the replica is cold, be there a limit for that or not."""
+        return max(
+            self.warmup_ends_at,
+            self.announced_cold_until,
+            self.cold_since + self.service_warmup_s,
+        )
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the limit of a cold replica applies now."""
+        return self.warmup_limit_per_s is not None and now < self.compute_cold_end()
+
     def accepts_requests(self, now: float) -> bool:
         """Return whether requests may be sent to the replica at all."""
         return not self.is_evacuated and not self.is_quiet(now)
@@ -252,6 +276,7 @@
             self.is_available(now)
             and self.consecutive_connect_failures == 0
             and self.rate_limit_per_s is None
+            and not self.is_cold(now)
         )
 
     def is_available(self, now: float) -> bool:
--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -51,6 +51,20 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Warmup:
+    """For how long a replica says that it is cold; 0 if it is not."""
+
+    left_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InvalidWarmup:
+    """Such a time that is not a number of milliseconds."""
+
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """A complete, decoded reply.
@@ -59,7 +73,7 @@
     request that it answers. `not_executed` and `is_misdirected` say that the server
     did not execute the request. `rate_limit` is None if the replica advertises none,
     `retry_after` if it does not ask for a pause. `is_leaving` says that its process is
-    about to stop.
+    about to stop. `warmup` is None if the reply does not tell whether it is cold.
     """
 
     status: int
@@ -73,6 +87,7 @@
     rate_limit: RateLimit | InvalidRateLimit | None = None
     retry_after: RetryAfter | InvalidRetryAfter | None = None
     is_leaving: bool = False
+    warmup: Warmup | InvalidWarmup | None = None
 
 
 def classify_reply(reply: Reply, request_id: names.RequestId) -> AttemptOutcome:
--- a/corianderrill/gateway/routes.py
+++ b/corianderrill/gateway/routes.py
@@ -153,6 +153,14 @@
         default_factory=dict
     )
 
+    @property
+    def has_warmup_limits(self) -> bool:
+        """Whether any service limits the requests to its cold replicas."""
+        return any(
+            service.warmup_requests_per_s is not None
+            for service in self.services.values()
+        )
+
     def find_workspace(self, key: WorkspaceKey) -> Workspace | None:
         """Return the workspace that holds a key."""
         return self.workspaces_by_key.get(key)
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -55,6 +55,7 @@
             except Exception as error:
                 trace = "".join(traceback.format_exception(error))
                 self._record_skipped_item(item, trace[-MAX_REASON_CHARACTERS:])
+        self.limits.refresh_cold(self.view, now)
 
     def _apply_item(self, item: store.Item, now: float) -> None:
         if item.key == documents.CONFIGURATION_KEY:
@@ -271,6 +272,7 @@
         for zone in self.view.evacuated.list_evacuated():
             if documents.format_evacuation_key(zone) not in listed_keys:
                 self._apply_evacuation(zone, False, revision, now)
+        self.limits.refresh_cold(self.view, now)
 
     def drop_expired(self, revision: view.StoreRevision, now: float) -> None:
         """Drop what was kept for a limited time after it left the store."""
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -154,6 +154,8 @@
         replica = _update_replica(entry, registration, now)
         if replica is None:
             return UpdateOutcome.STALE
+        if _is_new_process(entry, registration, self.was_confirmed()):
+            replica.cold_since = now
         replica.is_evacuated = registration.zone in self.evacuated.list_evacuated()
         fallback_until = self._get_fallback_end(entry, registration, now)
         self._entries[registration.id] = _Entry(
@@ -245,6 +247,12 @@
             return False
         for replica in self.list_in_zone(zone):
             replica.is_evacuated = is_evacuated
+            if not is_evacuated:
+                # Idle for the evacuation.
+                replica.cold_since = now
+                replica.announced_cold_until = max(
+                    replica.announced_cold_until, now + evacuations.RETURN_S
+                )
         self._ready_by_service.clear()
         return True
 
@@ -328,6 +336,10 @@
             if entry.replica is not None and entry.replica.rate_limit_per_s is not None
         ]
 
+    def list_replicas(self) -> list[replicas.Replica]:
+        """Return all replicas that may be in use, evacuated or not."""
+        return [entry.replica for entry in self._entries.values() if entry.replica]
+
     def list_ready(self, service: names.ServiceName) -> list[replicas.Replica]:
         """Return the replicas of a service that are ready, none that is evacuated."""
         if not self._ready_by_service:
@@ -382,9 +394,26 @@
         registration
     ):
         replica.quiet_until = former.quiet_until
+        replica.cold_since = former.cold_since
+        replica.announced_cold_until = former.announced_cold_until
+        replica.cold_slot_at = former.cold_slot_at
     return replica
 
 
+def _is_new_process(
+    entry: _Entry | None, registration: replicas.Registration, was_confirmed: bool
+) -> bool:
+    """Return whether a registration tells of a process that has just started.
+
+    What a host reads of unknown replicas at its own start may be old. Replicas that are
+    cold then say so in their entry.
+    """
+    known = None if entry is None else entry.registration
+    if known is None:
+        return was_confirmed
+    return _get_process(known) != _get_process(registration)
+
+
 def _get_process(registration: replicas.Registration) -> _Process:
     return _Process(registration.started_at_ms, registration.address)
 
@@ -427,6 +456,8 @@
             return replicas.Replica(registration, warmup_ends_at)
     if registration.address != previous.address:
         return replicas.Replica(registration, warmup_ends_at)
+    if registration != previous:
+        # Else it is the same write, read again from a store that was restored.
+        current.warmup_ends_at = warmup_ends_at
     current.registration = registration
-    current.warmup_ends_at = warmup_ends_at
     return current
--- a/corianderrill/metrics.py
+++ b/corianderrill/metrics.py
@@ -240,6 +240,12 @@
     ("liveness",),
     3,
 )
+GATEWAY_COLD_REPLICAS = _count(
+    "gateway_cold_replicas",
+    "Replicas with a limit for cold ones that turned cold, or warm again.",
+    ("change",),
+    2,
+)
 GATEWAY_EVACUATED_ZONES = _gauge(
     "gateway_evacuated_zones", "Zones whose replicas get nothing, by the store."
 )
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -33,6 +33,8 @@
 _LEAVING_REPLY_HEADER = b"server-leaving"
 # Beside status 503: the seconds in which the replica wants no requests of this host.
 _RETRY_AFTER_REPLY_HEADER = b"retry-after"
+# The milliseconds for which the replica is cold.
+_WARMUP_REPLY_HEADER = b"x-warmup-ms"
 STATUS_UNAVAILABLE = 503
 # Headers that are not forwarded; those listed in the Connection header are not either.
 # The gateway writes Content-Length itself.
@@ -174,6 +176,7 @@
         rate_limit=_decode_rate_limit(headers_by_name.get(_RATE_LIMIT_REPLY_HEADER)),
         retry_after=_decode_retry_after(raw),
         is_leaving=headers_by_name.get(_LEAVING_REPLY_HEADER, b"").strip() == b"1",
+        warmup=_decode_warmup(headers_by_name.get(_WARMUP_REPLY_HEADER)),
     )
 
 
@@ -194,6 +197,17 @@
     return replies.InvalidRetryAfter(texts[0]) if texts else None
 
 
+def _decode_warmup(
+    value: bytes | None,
+) -> replies.Warmup | replies.InvalidWarmup | None:
+    if value is None:
+        return None
+    text = value.decode("latin-1").strip()
+    if not _DECIMAL_NUMBER.fullmatch(text):
+        return replies.InvalidWarmup(text)
+    return replies.Warmup(float(text) / 1000)
+
+
 def _decode_rate_limit(
     value: bytes | None,
 ) -> replies.RateLimit | replies.InvalidRateLimit | None:
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -422,7 +422,8 @@
 
     `delay_s` is the processing time of each request, `status` the status of replies.
     `rate_limit` is the limit that replies advertise, in requests a second of all hosts.
-    While `is_leaving` is set, replies say that the server leaves.
+    While `is_leaving` is set, replies say that the server leaves. `warmup_left_ms` is
+    in its registration, and in its replies unless it is None.
     """
 
     _numbers = itertools.count(1)
@@ -436,6 +437,7 @@
         self.status = "200 OK"
         self.rate_limit: float | None = None
         self.is_leaving = False
+        self.warmup_left_ms: int | None = None
         self.started_at_ms = round(1000 * time.time())
         self._write_count = 0
         self.requests: list[str] = []
@@ -455,7 +457,7 @@
             "version": "v1",
             "capacity": 4,
             "state": state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": self.warmup_left_ms or 0,
             "seq_no": self._write_count,
             "born": self.started_at_ms,
         }
@@ -483,4 +485,6 @@
             headers["Server-Limit"] = str(self.rate_limit)
         if self.is_leaving:
             headers["Server-Leaving"] = "1"
+        if self.warmup_left_ms is not None:
+            headers["X-Warmup-Ms"] = str(self.warmup_left_ms)
         return self.status, headers, b"".join(self.records) or body or b"done"
--- a/tests/utils/gateway_builders.py
+++ b/tests/utils/gateway_builders.py
@@ -93,6 +93,12 @@
     return requests.decode_reply(connections.RawReply(status, headers, b""))
 
 
+def decode_warmup(text):
+    """Return what a reply says with this text for how long its replica is cold."""
+    headers = [(b"x-warmup-ms", text)]
+    return requests.decode_reply(connections.RawReply(200, headers, b"")).warmup
+
+
 def build_route(
     target=None,
     prefix="/a/",
