Tell other hosts which replicas turned cold again

A replica may turn cold at any moment and says so in its replies, so each of many hosts sent to it as before until its own next reply. The demand reports, which a host with a cold replica publishes anyway, now name the replicas that said so to it and for how long. Reports without such replicas are written as before.

--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -31,13 +31,17 @@
     """What a host tells the others while replicas advertise limits.
 
     `requests_per_s` is its demand for each service with a limited replica. `lifted` are
-    the replicas that it just saw without the limit they had.
+    the replicas that it just saw without the limit they had. `cold_s` is for how long
+    replicas were cold when the report was written, by their replies to this host.
     """
 
     host: names.HostName
     zone: names.ZoneName
     requests_per_s: Mapping[names.ServiceName, float]
     lifted: frozenset[replicas.InstanceId] = frozenset()
+    cold_s: Mapping[replicas.InstanceId, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def weigh(self, service: names.ServiceName, zone: names.ZoneName) -> float:
         """Return the weight of the host for a replica of a service in a zone."""
--- a/corianderrill/gateway/demand_reporter.py
+++ b/corianderrill/gateway/demand_reporter.py
@@ -92,7 +92,11 @@
         self._needed_at = now
         rates = {s: round(self.rates.estimate_per_s(s, now), 2) for s in services}
         current = demand.DemandReport(
-            self.limits.directory.own_host, self.zone, rates, lifted
+            self.limits.directory.own_host,
+            self.zone,
+            rates,
+            lifted,
+            self.limits.list_announced_cold(now),
         )
         if now >= self._write_at and self._is_outdated(current):
             self._publish(current, now)
@@ -106,6 +110,8 @@
         own = self.limits.directory.get_own()
         if not self._is_written or own is None:
             return True
+        if current.cold_s.keys() != own.cold_s.keys():
+            return True
         return not current.lifted <= own.lifted or any(
             service not in own.requests_per_s
             or _differ(own.requests_per_s[service], per_s)
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -67,6 +67,10 @@
     _lifted_at: dict[replicas.InstanceId, float] = dataclasses.field(
         default_factory=dict
     )
+    # Until when replicas are cold that said so to this host.
+    _announced_until: dict[replicas.InstanceId, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         self.cold = cold_limits.ColdLimits(self.rng)
@@ -83,6 +87,8 @@
             case replies.Warmup(left_s):
                 bounded_s = min(left_s, MAX_ANNOUNCED_COLD_S)
                 replica.announced_cold_until = now + bounded_s
+                replica.warmth_told_at = now
+                self._announced_until[replica.id] = now + bounded_s
                 self._note_cold(replica, "reply", now)
             case replies.InvalidWarmup(text) if replica.warmup_limit_per_s is not None:
                 self._record_cold(replica, f"invalid: {text[:MAX_LOGGED_TEXT]}", now)
@@ -108,18 +114,52 @@
         report: demand.DemandReport | None,
         revision: view.StoreRevision,
         now: float,
-    ) -> None:
-        """Apply the report of a host, or its removal.
+    ) -> bool:
+        """Apply the report of a host, or its removal; return False if it is stale.
 
         A limit that it saw lifted is lifted here as well, unless the replica advertised
         it to this host so shortly before that the news may be older.
         """
-        if not self.directory.apply(host, report, revision, now) or report is None:
-            return
+        if not self.directory.apply(host, report, revision, now):
+            return False
+        if report is None:
+            return True
         for replica in list(self._limited):
             is_old = now - replica.rate_limit_seen_at >= demand.SETTLING_TIME_S
             if is_old and replica.id in report.lifted:
                 self._lift(replica, NoticeOutcome.LIFTED_ELSEWHERE)
+        return True
+
+    def apply_cold_news(
+        self, report: demand.DemandReport, current: view.View, now: float
+    ) -> None:
+        """Take replicas for cold that said so to another host.
+
+        What a replica said to this host a moment ago may be newer.
+        """
+        for replica_id, left_s in report.cold_s.items():
+            replica = current.find_replica(replica_id)
+            if replica is None or now - replica.warmth_told_at < demand.SETTLING_TIME_S:
+                continue
+            until = now + min(left_s, MAX_ANNOUNCED_COLD_S)
+            replica.announced_cold_until = max(replica.announced_cold_until, until)
+            self._note_cold(replica, "report", now)
+
+    def list_announced_cold(self, now: float) -> dict[replicas.InstanceId, float]:
+        """Return for how long replicas are still cold that said so to this host.
+
+        Only those count whose service has a limit for cold replicas.
+        """
+        self._announced_until = {
+            replica_id: until
+            for replica_id, until in self._announced_until.items()
+            if until > now
+        }
+        return {
+            replica.id: self._announced_until[replica.id] - now
+            for replica in self._cold
+            if replica.id in self._announced_until
+        }
 
     def list_lifted(self, now: float) -> frozenset[replicas.InstanceId]:
         """Return the replicas that this host just saw without the limit they had."""
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -145,7 +145,9 @@
         except documents.DocumentError as error:
             self._record_skipped_item(item, str(error))
             return
-        self.limits.apply_report(host, report, item.revision, now)
+        is_new = self.limits.apply_report(host, report, item.revision, now)
+        if is_new and report is not None:
+            self.limits.apply_cold_news(report, self.view, now)
 
     def _apply_aggregator_item(self, item: store.Item) -> None:
         try:
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -336,6 +336,11 @@
             if entry.replica is not None and entry.replica.rate_limit_per_s is not None
         ]
 
+    def find_replica(self, replica_id: replicas.InstanceId) -> replicas.Replica | None:
+        """Return the replica with an id, if it may be in use."""
+        entry = self._entries.get(replica_id)
+        return None if entry is None else entry.replica
+
     def list_replicas(self) -> list[replicas.Replica]:
         """Return all replicas that may be in use, evacuated or not."""
         return [entry.replica for entry in self._entries.values() if entry.replica]
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -127,6 +127,8 @@
     requests_per_s: dict[str, float]
     # The ids of replicas whose limit has ended.
     lifted: list[str] = []
+    # By the ids of replicas, the time for which they are cold.
+    cold_ms: dict[str, float] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _WireNotes(msgspec.Struct):
@@ -291,7 +293,13 @@
 def encode_demand(report: demand.DemandReport) -> bytes:
     """Return the value of the key of a demand report."""
     return msgspec.json.encode(
-        _WireDemand(report.zone, dict(report.requests_per_s), sorted(report.lifted))
+        _WireDemand(
+            report.zone,
+            dict(report.requests_per_s),
+            sorted(report.lifted),
+            {key: round(1000 * left_s) for key, left_s in report.cold_s.items()}
+            or msgspec.UNSET,
+        )
     )
 
 
@@ -308,6 +316,10 @@
             for service, per_s in document.requests_per_s.items()
         },
         frozenset(map(replicas.InstanceId, document.lifted)),
+        {
+            replicas.InstanceId(replica_id): max(left_ms, 0.0) / 1000
+            for replica_id, left_ms in (document.cold_ms or {}).items()
+        },
     )
 
 
--- a/tests/test_gateway_cold_limits.py
+++ b/tests/test_gateway_cold_limits.py
@@ -20,6 +20,7 @@
     rate_limits,
     routes,
 )
+from corianderrill.platform import documents
 from tests.utils import cold_hosts, fake_stores, virtual_fleets, virtual_servers
 from tests.utils import gateway_builders as builders
 
@@ -321,6 +322,48 @@
     assert known.list_services(101.0) == set()
 
 
+# Guards against hosts that each have to ask a replica before they know that it has
+# turned cold again.
+def test_host_learns_from_the_report_of_another_that_a_replica_is_cold():
+    known, other = Known(warmup_s=0.0), Known(warmup_s=0.0)
+    replica = known.register(100.0)
+    known.reply(replica, b"5000", 100.0)
+    heard = other.register(100.0)
+    report = demand.DemandReport(
+        names.HostName("b"),
+        builders.ZONE,
+        {},
+        cold_s=known.limits.list_announced_cold(101.0),
+    )
+    encoded = documents.encode_demand(report)
+    decoded = documents.decode_demand("demand/b", encoded)
+    assert other.limits.apply_report(decoded.host, decoded, 5, 101.0)
+    other.limits.apply_cold_news(decoded, other.view, 101.0)
+    assert heard.is_cold(104.9)
+    assert not heard.is_cold(105.0)
+    # What it only heard is no news of its own.
+    assert other.limits.list_announced_cold(101.0) == {}
+    assert known.limits.list_announced_cold(105.0) == {}
+
+
+def test_report_does_not_undo_what_the_replica_said_to_this_host_just_before():
+    known = Known(warmup_s=0.0)
+    replica = known.register(100.0)
+    known.reply(replica, b"0", 100.0)
+    report = demand.DemandReport(
+        names.HostName("b"), builders.ZONE, {}, cold_s={replica.id: 5.0}
+    )
+    known.limits.apply_cold_news(report, known.view, 101.0)
+    assert not replica.is_cold(101.0)
+    known.limits.apply_cold_news(report, known.view, 103.0)
+    assert replica.is_cold(103.0)
+
+
+def test_report_without_cold_replicas_is_written_as_before():
+    report = demand.DemandReport(names.HostName("b"), builders.ZONE, {SERVICE: 1.0})
+    assert b"cold" not in documents.encode_demand(report)
+
+
 # The demand of all hosts.
 
 
--- a/tests/test_gateway_demand.py
+++ b/tests/test_gateway_demand.py
@@ -4,6 +4,7 @@
 or their key, or cannot reach the store.
 """
 
+import dataclasses
 import math
 import random
 
@@ -295,3 +296,20 @@
 
 def fail_call(*arguments):
     raise store.StoreError(store.FailureKind.UNREACHABLE, "the reply was lost")
+
+
+# Guards against hosts that hear too late, or for too long, that a replica is cold.
+def test_cold_replica_is_published_while_it_is_cold():
+    reporting = Reporting()
+    reporting.name_limit()
+    reporting.run(4, per_s=20)
+    reporting.replica.warmup_limit_per_s = 5.0
+    cold = dataclasses.replace(
+        builders.build_limited_reply(10.0), warmup=builders.decode_warmup(b"8000")
+    )
+    reporting.limits.record_reply(reporting.replica, cold, reporting.now)
+    reporting.run(demand_reporter.MIN_WRITE_INTERVAL_S + 0.5, per_s=20)
+    own = reporting.directory.get_own()
+    assert 5.0 < own.cold_s[reporting.replica.id] <= 8.0
+    reporting.run(8.0, per_s=20)
+    assert reporting.directory.get_own().cold_s == {}
--- a/tests/utils/virtual_fleets.py
+++ b/tests/utils/virtual_fleets.py
@@ -104,7 +104,9 @@
     def _deliver(self, site, key, report, revision):
         host = documents.parse_demand_key(key)
         limits = site.tools.rate_limits
-        limits.apply_report(host, report, revision, self.loop.now())
+        now = self.loop.now()
+        if limits.apply_report(host, report, revision, now) and report is not None:
+            limits.apply_cold_news(report, site.tools.view, now)
 
     def read_all(self, site):
         """Let a host that starts read all reports."""
