--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -17,6 +17,7 @@
 
 from corianderrill.gateway import (
     caller_log,
+    cold_records,
     evacuation_records,
     quota_records,
     workspace_events,
@@ -442,6 +443,7 @@
     | quota_records.Record
     | evacuation_records.ZoneEvacuation
     | evacuation_records.AttemptsWithdrawn
+    | cold_records.ReplicaCold
 )
 
 
