--- a/tests/utils/quota_sites.py
+++ b/tests/utils/quota_sites.py
@@ -80,6 +80,13 @@
     return [json.loads(line)["record"] for line in host.read_output().splitlines()]
 
 
+def read_metrics(host):
+    """Return the text of a scrape."""
+    connection = gateway_rig.connect(host.metrics_address)
+    connection.request("GET", "/metrics")
+    return connection.getresponse().read().decode()
+
+
 @contextlib.contextmanager
 def run(directory, **settings):
     """Yield a site whose hosts are ready and hold the slots."""
