Answer a bad message about quotas with 400

The answer was 500, since aggregator_app knew the phrases of three statuses only. It uses those of the responses to callers.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -40,8 +40,6 @@
 
 OTHER_PATHS = (store.RANGE_PATH, store.WATCH_PATH, quota_messages.PATH)
 
-_REASON_PHRASES = {200: "OK", 502: "Bad Gateway", 503: "Service Unavailable"}
-
 
 class AggregatorApp:
     """Validates delegated queries, sends their sub-requests and merges the parts."""
@@ -85,7 +83,7 @@
             ("Keep-Alive", f"timeout={KEEP_ALIVE_S}"),
             ("Content-Length", str(len(response.body))),
         ]
-        phrase = _REASON_PHRASES[response.status]
+        phrase = responses.REASON_PHRASES[response.status]
         start_response(f"{response.status} {phrase}", headers)
         if not is_query:
             return [response.body]
--- a/tests/test_gateway_quota_processes.py
+++ b/tests/test_gateway_quota_processes.py
@@ -104,3 +104,30 @@
     events = [record["event"] for record in quota_sites.read_records(frozen)]
     begun, ended = map(events.count, ("quota-term-begun", "quota-term-ended"))
     assert begun == ended == 1
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"{", 400),
+        (b"[" * 100_000, 400),
+        (b'["h","p",1,"","zone-a",false,[["kami",-1]]]', 400),
+        (b'["h","p",1,"","zone-a",false,[]]', 503),
+    ],
+)
+def test_bad_message_is_refused_and_the_lessor_goes_on(site, body, status):
+    connection = gateway_rig.connect(site.first_address)
+    connection.request("POST", "/quota", body=body)
+    assert connection.getresponse().status == status
+    site.wait_for_answer(site.first)
+
+
+# Guards against tokens that are lost with requests that no replica could take.
+def test_request_without_a_replica_gives_back_what_it_took(site):
+    for host in site.rig.hosts:
+        site.wait_for_answer(host)
+    site.rig.store.remove(f"servers/{site.rig.single_server.id}")
+    eventlet.sleep(gateway_rig.CONFIG_APPLY_S + 1.0)
+    for host in site.rig.hosts:
+        statuses = [site.send(host, f"n-{number}").status for number in range(60)]
+        assert set(statuses) == {503}
--- a/tests/utils/quota_sites.py
+++ b/tests/utils/quota_sites.py
@@ -28,9 +28,9 @@
 
     def __init__(self, directory, **settings):
         options = {"zones": ("zone-a",), "more_bounds": QUOTA_BOUNDS, **settings}
-        self.rig = gateway_rig.GatewayRig(
-            directory, port_range=aggregator_zones.pick_port_range(), **options
-        )
+        port_range = aggregator_zones.pick_port_range()
+        self.first_address = f"127.0.0.1:{port_range[0]}"
+        self.rig = gateway_rig.GatewayRig(directory, port_range=port_range, **options)
         self.first = self.rig.hosts[0]
         self.second = self.rig.add_host(
             "front-2", port_range=aggregator_zones.pick_port_range(), **options
