Name in demand reports only cold replicas that others may not know

When a zone returns, hundreds of cold replicas say so to every host, and 830 reports that name all of them are megabytes for each host to read. A report now leaves out what the store or another report tells, and holds at most 32 replicas.

--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -138,6 +138,15 @@
         """Return the report of this host that is in the store; None without one."""
         return self._reports.get(self.own_host)
 
+    def list_cold_of_others(self) -> set[replicas.InstanceId]:
+        """Return the replicas that reports of other hosts name as cold."""
+        return {
+            replica_id
+            for host, report in self._reports.items()
+            if host != self.own_host
+            for replica_id in report.cold_s
+        }
+
     def list_hosts(self) -> set[names.HostName]:
         """Return the hosts with a report."""
         return set(self._reports)
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -38,6 +38,10 @@
 LIFT_NEWS_S = 5.0
 # A replica that says that it is cold for longer is asked again after this time.
 MAX_ANNOUNCED_COLD_S = 600.0
+# Of a replica that is cold for little longer than the store tells, others are not told.
+KNOWN_COLD_SLACK_S = 1.0
+# All hosts read each report; a zone may return with hundreds of cold replicas.
+MAX_COLD_NEWS = 32
 
 
 class NoticeOutcome(enum.Enum):
@@ -148,17 +152,27 @@
     def list_announced_cold(self, now: float) -> dict[replicas.InstanceId, float]:
         """Return for how long replicas are still cold that said so to this host.
 
-        Only those count whose service has a limit for cold replicas.
+        Those that other hosts know of are left out: from the store, or from a report.
+        So are those whose service has no limit for cold replicas.
         """
         self._announced_until = {
             replica_id: until
             for replica_id, until in self._announced_until.items()
             if until > now
         }
+        own = self.directory.get_own()
+        published = () if own is None else own.cold_s
+        reported = self.directory.list_cold_of_others()
+        news = [
+            replica
+            for replica in self._cold
+            if (until := self._announced_until.get(replica.id)) is not None
+            and until > replica.compute_stored_cold_end() + KNOWN_COLD_SLACK_S
+            and (replica.id in published or replica.id not in reported)
+        ]
         return {
             replica.id: self._announced_until[replica.id] - now
-            for replica in self._cold
-            if replica.id in self._announced_until
+            for replica in sorted(news, key=_get_id)[:MAX_COLD_NEWS]
         }
 
     def list_lifted(self, now: float) -> frozenset[replicas.InstanceId]:
@@ -346,3 +360,7 @@
         )
         min_per_s = MIN_TOTAL_PER_S / max(self.directory.host_count, 1.0)
         return 1.0 / max(share * replica.rate_limit_per_s, min_per_s)
+
+
+def _get_id(replica: replicas.Replica) -> replicas.InstanceId:
+    return replica.id
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -254,11 +254,11 @@
 
     def compute_cold_end(self) -> float:
         """Return until when the replica is cold, be there a limit for that or not."""
-        return max(
-            self.warmup_ends_at,
-            self.announced_cold_until,
-            self.cold_since + self.service_warmup_s,
-        )
+        return max(self.compute_stored_cold_end(), self.announced_cold_until)
+
+    def compute_stored_cold_end(self) -> float:
+        """Return until when the replica is cold by what the store says to all hosts."""
+        return max(self.warmup_ends_at, self.cold_since + self.service_warmup_s)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the limit of a cold replica applies now."""
--- a/tests/test_gateway_cold_limits.py
+++ b/tests/test_gateway_cold_limits.py
@@ -346,6 +346,36 @@
     assert known.limits.list_announced_cold(105.0) == {}
 
 
+# Guards against reports that all hosts fill with what all hosts know.
+def test_hosts_do_not_tell_what_the_store_or_another_host_tells():
+    known = Known(warmup_s=0.0)
+    by_store = known.register(100.0, warmup_s=60.0)
+    known.reply(by_store, b"60000", 100.0)
+    assert known.limits.list_announced_cold(100.0) == {}
+    known.reply(by_store, b"90000", 100.0)
+    assert known.limits.list_announced_cold(100.0) == {by_store.id: 90.0}
+    report = demand.DemandReport(
+        names.HostName("b"), builders.ZONE, {}, cold_s={by_store.id: 90.0}
+    )
+    known.limits.apply_report(report.host, report, 5, 101.0)
+    assert known.limits.list_announced_cold(101.0) == {}
+    known.limits.apply_report(report.host, None, 6, 102.0)
+    assert set(known.limits.list_announced_cold(102.0)) == {by_store.id}
+
+
+def test_report_names_a_bounded_number_of_cold_replicas():
+    known = Known(warmup_s=0.0)
+    for number in range(100):
+        registration = builders.build_registration(f"i-{number:03}")
+        known.view.apply_registration(registration, 10 + number, 100.0)
+    known.limits.refresh_cold(known.view, 100.0)
+    for replica in known.view.list_replicas():
+        known.reply(replica, b"9000", 100.0)
+    first = known.limits.list_announced_cold(101.0)
+    assert len(first) == rate_limits.MAX_COLD_NEWS
+    assert first.keys() == known.limits.list_announced_cold(102.0).keys()
+
+
 def test_report_does_not_undo_what_the_replica_said_to_this_host_just_before():
     known = Known(warmup_s=0.0)
     replica = known.register(100.0)
