--- a/tests/test_gateway_evacuated_attempts.py
+++ b/tests/test_gateway_evacuated_attempts.py
@@ -148,6 +148,20 @@
     assert crash_watch.Liveness.ENDED.value == "ended"
 
 
+# Guards against trials of quarantined requests that go to an evacuated zone.
+@pytest.mark.parametrize("zones", [("zone-a",), virtual_servers.ZONES])
+def test_trial_of_a_quarantined_request_is_not_sent_to_an_evacuated_zone(zones):
+    site = build_single_site()
+    for zone in zones:
+        evacuate(site, names.ZoneName(zone))
+    site.ask(is_trial=True)
+    site.loop.run_until(3.0)
+    assert all(list_arrivals(site, zone) == [] for zone in zones)
+    is_left = len(zones) < len(virtual_servers.ZONES)
+    outcome = Outcome.COMPLETE if is_left else Outcome.NOT_EXECUTED
+    assert [ended.outcome for ended in site.ended] == [outcome]
+
+
 # Guards against queries whose parts are delegated to the evacuated zone.
 def test_no_aggregator_is_asked_for_replicas_of_an_evacuated_zone():
     site = virtual_servers.Site(shards=6, mode=delegation.Mode.OTHER_ZONES)
--- a/tests/utils/virtual_servers.py
+++ b/tests/utils/virtual_servers.py
@@ -417,8 +417,8 @@
         server.pause_at_s = self.rng.random() * server.pause_every_s
         return server
 
-    def ask(self):
-        """Send one request now."""
+    def ask(self, **options):
+        """Send one request now; the options are those of its coordinator."""
         self.asked += 1
         inbound = requests.InboundRequest(
             id=names.RequestId(f"q-{self.host}-{self.asked}"),
@@ -450,7 +450,12 @@
             services = (self.route.target.service,)
         selected = routes.SelectedRoute(self.tools.view.configuration, self.route)
         work = coordinator.RequestCoordinator(
-            self.tools, inbound, selected, services, conclude, mode=self.mode
+            self.tools,
+            inbound,
+            selected,
+            services,
+            conclude,
+            **{"mode": self.mode, **options},
         )
         holder.append(work)
         self.coordinators.append(work)
