--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -17,6 +17,7 @@
 
 from corianderrill.gateway import (
     caller_log,
+    cold_records,
     evacuation_records,
     load_records,
     quota_records,
@@ -444,6 +445,7 @@
     | evacuation_records.ZoneEvacuation
     | evacuation_records.AttemptsWithdrawn
     | load_records.LoadReportInvalid
+    | cold_records.ReplicaCold
 )
 
 
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import enum
+import math
 import statistics
 from typing import NewType
 
@@ -91,6 +92,13 @@
     `rate_limit_seen_at`, and this host has used its share of it up to `next_slot_at`.
     Until `quiet_until` the replica wants no requests of this host. While its zone
     `is_evacuated`, it gets none at all. `load` estimates how loaded it is now.
+
+    `warmup_limit_per_s` is what it takes from all hosts together while it is cold, None
+    without a limit. It is cold until the latest of `warmup_ends_at`,
+    `announced_cold_until`, and `service_warmup_s` after `cold_since`: the start of its
+    process, or the return of its zone. Its own reply said how warm it is last at
+    `warmth_told_at`. `cold_slot_at` is the start of this host's next slot for it, None
+    if it has had none.
     """
 
     registration: Registration
@@ -118,6 +126,12 @@
     load: replica_load.ReplicaLoad = dataclasses.field(
         default_factory=replica_load.ReplicaLoad
     )
+    warmup_limit_per_s: float | None = None
+    service_warmup_s: float = 0.0
+    cold_since: float = -math.inf
+    announced_cold_until: float = -math.inf
+    warmth_told_at: float = -math.inf
+    cold_slot_at: float | None = None
 
     @property
     def id(self) -> InstanceId:
@@ -233,7 +247,7 @@
             slowness = 1.0 + (slowness - 1.0) * 0.5 ** (
                 age_s / self.slowness_half_life_s
             )
-        if now < self.warmup_ends_at:
+        if now < self.warmup_ends_at or self.is_cold(now):
             slowness *= WARMUP_SLOWNESS_FACTOR
         return slowness
 
@@ -247,6 +261,18 @@
         """Return whether the replica wants no requests of this host now."""
         return now < self.quiet_until
 
+    def compute_cold_end(self) -> float:
+        """Return until when the replica is cold, be there a limit for that or not."""
+        return max(self.compute_stored_cold_end(), self.announced_cold_until)
+
+    def compute_stored_cold_end(self) -> float:
+        """Return until when the replica is cold by what the store says to all hosts."""
+        return max(self.warmup_ends_at, self.cold_since + self.service_warmup_s)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the limit of a cold replica applies now."""
+        return self.warmup_limit_per_s is not None and now < self.compute_cold_end()
+
     def accepts_requests(self, now: float) -> bool:
         """Return whether requests may be sent to the replica at all."""
         return not self.is_evacuated and not self.is_quiet(now)
@@ -263,6 +289,7 @@
             and self.consecutive_connect_failures == 0
             and self.rate_limit_per_s is None
             and not self.load.is_slowed(now)
+            and not self.is_cold(now)
         )
 
     def is_available(self, now: float) -> bool:
--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -72,6 +72,20 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Warmup:
+    """For how long a replica says that it is cold; 0 if it is not."""
+
+    left_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InvalidWarmup:
+    """Such a time that is not a number of milliseconds."""
+
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """A complete, decoded reply.
@@ -80,7 +94,8 @@
     request that it answers. `not_executed` and `is_misdirected` say that the server
     did not execute the request. `rate_limit` is None if the replica advertises none,
     `retry_after` if it does not ask for a pause, `load_report` if it sends none.
-    `is_leaving` says that its process is about to stop.
+    `is_leaving` says that its process is about to stop. `warmup` is None if the reply
+    does not tell whether it is cold.
     """
 
     status: int
@@ -95,6 +110,7 @@
     retry_after: RetryAfter | InvalidRetryAfter | None = None
     is_leaving: bool = False
     load_report: LoadReport | InvalidLoadReport | None = None
+    warmup: Warmup | InvalidWarmup | None = None
 
 
 def classify_reply(reply: Reply, request_id: names.RequestId) -> AttemptOutcome:
