Let the usual load of a replica follow time, and compare four policies in tests

The usual load moved with each reply, so a burst after a pause left a replica at 2.3 times its usual latency, and three quick replies attracted requests for good. It now follows time and fades within 10 s.

--- a/corianderrill/gateway/replica_load.py
+++ b/corianderrill/gateway/replica_load.py
@@ -19,8 +19,16 @@
 MAX_RATIO = 7.5
 # However fast its replies were, a replica is expected to need this much.
 MIN_SLOWNESS = 0.5
-# Share of one reply in the latency and the queue that are usual for the replica.
-USUAL_GAIN = 0.05
+# What is usual follows the latencies with this half-life; replies that come together,
+# as after a pause, count little in it. No longer latency than this multiple is usual.
+USUAL_HALF_LIFE_S = 5.0
+MAX_USUAL_RATIO = 2.5
+MAX_USUAL_INTERVAL_S = 1.0
+# Without replies, what was usual is forgotten step by step within this time, so that a
+# replica which seemed slower than its peers is tried again.
+USUAL_MAX_AGE_S = 10.0
+# Share of one report in the queue that is usual for the replica.
+USUAL_QUEUE_GAIN = 0.05
 # A queue of some requests is worked off within this order of time.
 QUEUE_HALF_LIFE_S = 0.05
 WORK_TIME_HALF_LIFE_S = 0.3
@@ -52,16 +60,18 @@
     def record_latency_ratio(self, ratio: float, now: float) -> None:
         """Record a latency as a multiple of the expected one."""
         bounded = min(ratio, MAX_RATIO)
-        decay = 0.5 ** (max(now - self.observed_at, 0.0) / HALF_LIFE_S)
+        interval_s = now - self.observed_at if self.ratio_weight else 0.0
+        gain = 1.0 - 0.5 ** (min(interval_s, MAX_USUAL_INTERVAL_S) / USUAL_HALF_LIFE_S)
+        self.usual_ratio += gain * (min(ratio, MAX_USUAL_RATIO) - self.usual_ratio)
+        decay = 0.5 ** (interval_s / HALF_LIFE_S)
         self.ratio_sum = decay * self.ratio_sum + bounded
         self.ratio_weight = decay * self.ratio_weight + 1.0
         self.observed_at = now
-        self.usual_ratio += USUAL_GAIN * (bounded - self.usual_ratio)
 
     def record_report(self, report: replies.LoadReport, now: float) -> None:
         """Record what the replica says of itself."""
         queue = report.running + report.waiting
-        self.usual_queue += USUAL_GAIN * (queue - self.usual_queue)
+        self.usual_queue += USUAL_QUEUE_GAIN * (queue - self.usual_queue)
         self.report = report
         self.reported_at = now
 
@@ -79,11 +89,15 @@
 
     def estimate_slowness(self, now: float) -> float:
         """Return the latency to expect, as a multiple of that of the route."""
-        decay = 0.5 ** ((now - self.observed_at) / HALF_LIFE_S)
-        slowness = (USUAL_WEIGHT * self.usual_ratio + decay * self.ratio_sum) / (
+        age_s = now - self.observed_at
+        if age_s >= USUAL_MAX_AGE_S:
+            return 1.0
+        decay = 0.5 ** (age_s / HALF_LIFE_S)
+        usual = 1.0 + (self.usual_ratio - 1.0) * (1.0 - age_s / USUAL_MAX_AGE_S)
+        slowness = (USUAL_WEIGHT * usual + decay * self.ratio_sum) / (
             USUAL_WEIGHT + decay * self.ratio_weight
         )
-        return max(slowness, MIN_SLOWNESS)
+        return slowness if slowness > MIN_SLOWNESS else MIN_SLOWNESS
 
     def estimate_reported_slowness(self, sent_since: int, now: float) -> float:
         """Return the same by the last report; `sent_since` requests were sent after it.
--- a/corianderrill/measures/balance.py
+++ b/corianderrill/measures/balance.py
@@ -26,7 +26,7 @@
     zone_health,
 )
 
-SEEDS = (1, 2, 3)
+SEEDS = (1, 2, 3, 4, 5, 6)
 DURATION_S = 12.0
 # Requests that arrive before this time are served, but not measured.
 WARM_UP_S = 2.0
@@ -54,7 +54,15 @@
 HEDGE_RATIO = 0.15
 PRIMING_SAMPLES = 40
 
-Policy = Callable[["Chooser", Sequence[replicas.Replica], float], replicas.Replica]
+Choose = Callable[["Chooser", Sequence[replicas.Replica], float], replicas.Replica]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """How a replica is chosen, and whether hedges go to replicas in a slowdown."""
+
+    choose: Choose
+    hedges_to_slowed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -323,11 +331,11 @@
         if not eligible or len(request.tried) >= MAX_ATTEMPTS:
             return None
         chooser.expected_latency_s = self._estimators[request.kind].expected_latency_s
-        return self._policy(chooser, eligible, self._now)
+        return self._policy.choose(chooser, eligible, self._now)
 
     def _send(self, request: Request, is_hedge: bool) -> None:
         replica = self._select(request)
-        if replica is None or (is_hedge and not replica.is_fit_for_hedge(self._now)):
+        if replica is None or (is_hedge and not self._may_hedge(replica)):
             return
         chooser, attempt = request.chooser, object()
         request.tried.append(replica)
@@ -347,6 +355,11 @@
         due_s = self._estimators[request.kind].hedge_delay_s
         self._schedule(sent_at + due_s, self._hedge, request, len(request.tried))
 
+    def _may_hedge(self, replica: replicas.Replica) -> bool:
+        if self._policy.hedges_to_slowed:
+            return replica.is_available(self._now)
+        return replica.is_fit_for_hedge(self._now)
+
     def _hedge(self, request: Request, tried_count: int) -> None:
         chooser = request.chooser
         may_spend = chooser.hedges + 1 <= HEDGE_RATIO * chooser.requests + 1
@@ -510,11 +523,11 @@
     )
 
 
-POLICIES: dict[str, Policy] = {
-    "random": choose_at_random,
-    "least-loaded": choose_least_loaded,
-    "lowest-cost": choose_lowest_cost,
-    "balanced": choose_as_gateway,
+POLICIES = {
+    "random": Policy(choose_at_random),
+    "least-loaded": Policy(choose_least_loaded),
+    "lowest-cost": Policy(choose_lowest_cost),
+    "balanced": Policy(choose_as_gateway, hedges_to_slowed=False),
 }
 
 
