--- a/corianderrill/gateway/load_balance.py
+++ b/corianderrill/gateway/load_balance.py
@@ -117,7 +117,7 @@
         reported = load.estimate_reported_slowness(sent_since, now)
         slowness += replica_load.REPORT_WEIGHT * (reported - slowness)
         pending_weight -= replica_load.REPORT_WEIGHT
-    if now < replica.warmup_ends_at:
+    if now < replica.warmup_ends_at or replica.is_cold(now):
         slowness *= replicas.WARMUP_SLOWNESS_FACTOR
     if (
         replica.slowness >= MIN_LASTING_SLOWNESS
