Clarify names and comments on caller input, load and cold replicas

Splits the building of the caller servers and the availability check into short functions, corrects doc comments that were wrong, wraps long lines.

--- a/corianderrill/gateway/availability.py
+++ b/corianderrill/gateway/availability.py
@@ -62,27 +62,22 @@
             for service in services
         ]
         if sum(map(bool, candidates_by_service)) < required:
-            # They come back at once when replicas return, which are cold then.
+            # Counts as demand, since refused callers ask again as soon as replicas
+            # return, which are cold then.
             self.shared.request_rates.record(tuple(services), now)
             return _convert_shortage(
                 candidates.explain_shortage(
                     view, services, required, now, allowed_zones
                 )
             )
-        pauses_s = [
-            min((r.quiet_until - now for r in listed), default=math.inf)
-            for listed in candidates_by_service
-        ]
-        pause_s = sorted(pauses_s)[required - 1]
+        pause_s = _compute_pause_s(candidates_by_service, required, now)
         if pause_s > 0.0:
             return Refusal("replicas-quiet", max(pause_s, responses.MIN_RETRY_AFTER_S))
-        if (
-            sum(
-                self._has_candidate_in_healthy_zone(listed, now)
-                for listed in candidates_by_service
-            )
-            >= required
-        ):
+        healthy = sum(
+            self._has_candidate_in_healthy_zone(listed, now)
+            for listed in candidates_by_service
+        )
+        if healthy >= required:
             return None
         if now - self._last_zone_probe_at >= ZONE_PROBE_INTERVAL_S:
             # This request probes whether the zones are reachable again.
@@ -100,6 +95,22 @@
         )
 
 
+def _compute_pause_s(
+    candidates_by_service: Sequence[Sequence[replicas.Replica]],
+    required: int,
+    now: float,
+) -> float:
+    """Return when the `required` services have a replica that wants requests.
+
+    It is a time from now, in seconds, and not above 0 if they have one already.
+    """
+    pauses_s = [
+        min((replica.quiet_until - now for replica in listed), default=math.inf)
+        for listed in candidates_by_service
+    ]
+    return sorted(pauses_s)[required - 1]
+
+
 def _convert_shortage(shortage: candidates.Shortage) -> Refusal:
     if shortage is candidates.Shortage.EVACUATED:
         return Refusal(shortage.value, EVACUATED_RETRY_AFTER_S)
--- a/corianderrill/gateway/caller_connections.py
+++ b/corianderrill/gateway/caller_connections.py
@@ -25,7 +25,7 @@
 # The watch for a disconnect starts this long after the request. Most requests end
 # sooner and need none.
 DISCONNECT_WATCH_DELAY_S = 0.1
-# Accepted in the moment before another connection is closed in their favour.
+# Accepted beyond the limit until another connection is closed for each of them.
 MAX_SURPLUS_CONNECTIONS = 4
 
 # `caller_input` bounds the head before the library sees it.
@@ -33,7 +33,7 @@
 
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _CHUNKED = "chunked"
-# Of answers to heads that are refused; without one, the connection is closed only.
+# For refusals of a head; after an error of another status, none is sent.
 _REASON_PHRASES = {
     400: "Bad Request",
     414: "Request URI Too Long",
@@ -46,7 +46,7 @@
     """What the connections to one address share."""
 
     slots: caller_resources.ConnectionSlots
-    memory: caller_resources.InputMemory
+    memory: caller_resources.BufferMemory
     get_limits: Callable[[], routes.CallerLimits]
     log: event_log.EventLog
     meter: metrics.Recorder
@@ -70,12 +70,13 @@
             keepalive=True,
             socket_timeout=caller_stream.STALL_TIMEOUT_S,
             capitalize_response_headers=False,
+            # Never reached: `caller_input` refuses longer request lines.
             url_length_limit=caller_input.MAX_REQUEST_LINE_BYTES + 1,
         )
 
 
 class CallerProtocol(wsgi.HttpProtocol):
-    """The protocol of the server; lets the application close a connection."""
+    """The protocol of one connection: bounded input and output, and its eviction."""
 
     def __init__(self, shared: Server, conn_state: list, server: wsgi.Server) -> None:
         self._shared = shared
@@ -137,7 +138,7 @@
         return self._head.request_line
 
     def _release_request(self) -> None:
-        """Let go of the request before, which an idle connection would keep."""
+        """Drop the previous request, which an idle connection would keep in memory."""
         self.raw_requestline = b""
         self.requestline = self.path = ""
         self.headers = self.environ = None
@@ -163,7 +164,7 @@
         if super().parse_request():
             # As it was sent: the standard library drops a second leading slash.
             self.path = self.requestline.split()[1]
-            if has_sound_framing(self.headers):
+            if has_unambiguous_framing(self.headers):
                 return True
             self._refuse(caller_input.MalformedError("framing-malformed"))
             return False
@@ -219,12 +220,12 @@
             self.close_connection = True
         finally:
             self._shared.slots.close(self._holder)
-            # Ends the circles of references, whose memory would wait for the collector.
+            # Breaks reference cycles, which would last until the next collection.
             vars(self).clear()
 
 
-def has_sound_framing(headers: Mapping[str, str]) -> bool:
-    """Return whether the headers tell without doubt where the body ends.
+def has_unambiguous_framing(headers: Mapping[str, str]) -> bool:
+    """Return whether the headers leave no doubt where the body ends.
 
     `headers` is a message of the standard library, which may hold a name twice.
     """
@@ -268,7 +269,7 @@
 
     @property
     def should_send_hundred_continue(self) -> bool:
-        """Return whether the caller waits for a word before it sends the body."""
+        """Return whether the caller waits for 100 Continue before it sends the body."""
         return self._wfile is not None and not self._has_continued
 
     def read_body(self, max_bytes: int) -> bytes:
@@ -294,7 +295,7 @@
             return caller_input.ChunkReader(max_bytes, self._limits.max_header_bytes)
         return caller_input.LengthReader(self.content_length, max_bytes)
 
-    def _read(self, reader: caller_stream.Reader, is_kept: bool = True) -> None:
+    def _read(self, reader: caller_stream.BodyReader, is_kept: bool = True) -> None:
         if self.content_length <= self._limits.max_body_bytes:
             self._send_continue()
         self._stream.read_body(reader, is_kept)
--- a/corianderrill/gateway/caller_input.py
+++ b/corianderrill/gateway/caller_input.py
@@ -29,8 +29,8 @@
 # Greater sizes are beyond any limit; leading zeros are allowed.
 _MAX_SIZE_DIGITS = 16
 _LINE_ENDS = (b"\r\n", b"\n")
-# By the line without its line feed. Most of the time for chunks of few bytes goes into
-# their framing, so these have a shorter way.
+# By the line without its line feed. Chunks of few bytes are mostly framing, so their
+# sizes are looked up rather than parsed.
 _SHORT_SIZES = {
     line % size: size for size in range(1, 256) for line in (b"%x\r", b"%X\r")
 }
@@ -291,7 +291,7 @@
     def _read_short_chunks(self, buffer: Buffer) -> int:
         """Read whole chunks of few bytes without extensions; return their number.
 
-        Others are left for the general way.
+        Other chunks are left to `_read_size`.
         """
         data = buffer.peek(_SHORT_CHUNKS_BYTES)
         pieces = []
--- a/corianderrill/gateway/caller_resources.py
+++ b/corianderrill/gateway/caller_resources.py
@@ -13,7 +13,7 @@
 DEFAULT_MEMORY_BYTES = 800_000_000
 MAX_CONNECTIONS = 3_000
 # Of the memory of the process: for input and unsent answers, and for connections.
-INPUT_SHARE = 1 / 8
+BUFFERS_SHARE = 1 / 8
 CONNECTIONS_SHARE = 1 / 4
 # The green thread of a connection, its objects, and what it holds free of charge.
 CONNECTION_BYTES = 65_536
@@ -23,7 +23,7 @@
 # Of the descriptors of the process; the rest is for replicas, the store and the log.
 CALLERS_DESCRIPTOR_SHARE = 1 / 2
 HOSTS_DESCRIPTOR_SHARE = 1 / 8
-# A caller that has read nothing of its answer for so long may give way to a new one.
+# A caller that has read nothing of its answer for so long may be evicted for a new one.
 MIN_STALL_S = 1.0
 
 
@@ -72,7 +72,7 @@
 class Limits:
     """How much the connections of a host may take together."""
 
-    max_input_bytes: int
+    max_buffer_bytes: int
     max_caller_connections: int
     max_host_connections: int
 
@@ -83,22 +83,22 @@
     by_memory = int(CONNECTIONS_SHARE * memory_bytes / CONNECTION_BYTES)
     max_callers = max_hosts = max(1, min(MAX_CONNECTIONS, by_memory))
     if max_descriptors is not None:
-        max_callers = _limit(max_callers, CALLERS_DESCRIPTOR_SHARE * max_descriptors)
-        max_hosts = _limit(max_hosts, HOSTS_DESCRIPTOR_SHARE * max_descriptors)
-    return Limits(int(INPUT_SHARE * memory_bytes), max_callers, max_hosts)
+        max_callers = _cap(max_callers, CALLERS_DESCRIPTOR_SHARE * max_descriptors)
+        max_hosts = _cap(max_hosts, HOSTS_DESCRIPTOR_SHARE * max_descriptors)
+    return Limits(int(BUFFERS_SHARE * memory_bytes), max_callers, max_hosts)
 
 
-def _limit(count: int, other: float) -> int:
-    return max(1, min(count, int(other)))
+def _cap(count: int, max_count: float) -> int:
+    return max(1, min(count, int(max_count)))
 
 
-class InputMemory:
-    """The memory that the connections of callers and of other hosts hold together.
+class BufferMemory:
+    """The input and unsent answers that callers and other hosts make the host hold.
 
     Beyond the limit, the connection that holds most ends. A connection whose request is
     being served does not: the request may have run; nor does the only one that holds
-    much. `get_min_limit_bytes` returns the size of the greatest request or reply, which
-    has to fit.
+    much. The limit is never below what `get_min_limit_bytes` returns, the size of the
+    greatest request or reply.
     """
 
     def __init__(
@@ -167,7 +167,7 @@
 class ConnectionSlots:
     """The connections to one address, at most `max_connections`."""
 
-    def __init__(self, max_connections: int, memory: InputMemory) -> None:
+    def __init__(self, max_connections: int, memory: BufferMemory) -> None:
         self.max_connections = max_connections
         self._memory = memory
         self._holders: set[Holder] = set()
--- a/corianderrill/gateway/caller_servers.py
+++ b/corianderrill/gateway/caller_servers.py
@@ -1,6 +1,7 @@
 """The servers for callers and for other hosts, and what they may take together."""
 
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from corianderrill import metrics
@@ -25,51 +26,64 @@
     limits = caller_resources.derive_limits(
         host_settings.max_memory_bytes, host_settings.max_descriptors
     )
+    memory = caller_resources.BufferMemory(
+        limits.max_buffer_bytes,
+        functools.partial(_get_greatest_message_bytes, shared),
+        functools.partial(_record_eviction, shared),
+    )
+    return (
+        _build_server(
+            shared,
+            caller_resources.ConnectionSlots(limits.max_caller_connections, memory),
+            memory,
+            functools.partial(_get_caller_limits, shared),
+        ),
+        _build_server(
+            shared,
+            caller_resources.ConnectionSlots(limits.max_host_connections, memory),
+            memory,
+            functools.partial(_get_host_limits, shared),
+        ),
+    )
 
-    def get_caller_limits() -> routes.CallerLimits:
-        configuration = shared.view.configuration
-        return routes.CallerLimits() if configuration is None else configuration.limits
 
-    def get_greatest_message_bytes() -> int:
-        caller_limits = get_caller_limits()
-        return max(
-            caller_limits.max_header_bytes + caller_limits.max_body_bytes,
-            reply_reader.MAX_REPLY_BODY_BYTES,
-        )
+def _build_server(
+    shared: shared_state.SharedState,
+    slots: caller_resources.ConnectionSlots,
+    memory: caller_resources.BufferMemory,
+    get_limits: Callable[[], routes.CallerLimits],
+) -> caller_connections.Server:
+    return caller_connections.Server(
+        slots, memory, get_limits, shared.log, shared.meter
+    )
 
-    def record_eviction(
-        reason: caller_resources.Reason, stage: caller_resources.Stage, held_bytes: int
-    ) -> None:
-        shared.meter.count(
-            metrics.GATEWAY_CONNECTIONS_EVICTED, reason.value, stage.value
-        )
-        shared.log.record(
-            caller_log.CallerEvicted(reason.value, stage.value, held_bytes)
-        )
 
-    memory = caller_resources.InputMemory(
-        limits.max_input_bytes, get_greatest_message_bytes, record_eviction
-    )
+def _get_caller_limits(shared: shared_state.SharedState) -> routes.CallerLimits:
+    configuration = shared.view.configuration
+    return routes.CallerLimits() if configuration is None else configuration.limits
 
-    def get_host_limits() -> routes.CallerLimits:
-        caller_limits = get_caller_limits()
-        return dataclasses.replace(
-            caller_limits,
-            max_header_bytes=caller_limits.max_header_bytes + HOST_HEADER_BYTES,
-        )
 
-    def build(
-        max_connections: int, get_limits: Callable[[], routes.CallerLimits]
-    ) -> caller_connections.Server:
-        return caller_connections.Server(
-            caller_resources.ConnectionSlots(max_connections, memory),
-            memory,
-            get_limits,
-            shared.log,
-            shared.meter,
-        )
+def _get_host_limits(shared: shared_state.SharedState) -> routes.CallerLimits:
+    caller_limits = _get_caller_limits(shared)
+    return dataclasses.replace(
+        caller_limits,
+        max_header_bytes=caller_limits.max_header_bytes + HOST_HEADER_BYTES,
+    )
 
-    return (
-        build(limits.max_caller_connections, get_caller_limits),
-        build(limits.max_host_connections, get_host_limits),
+
+def _get_greatest_message_bytes(shared: shared_state.SharedState) -> int:
+    caller_limits = _get_caller_limits(shared)
+    return max(
+        caller_limits.max_header_bytes + caller_limits.max_body_bytes,
+        reply_reader.MAX_REPLY_BODY_BYTES,
     )
+
+
+def _record_eviction(
+    shared: shared_state.SharedState,
+    reason: caller_resources.Reason,
+    stage: caller_resources.Stage,
+    held_bytes: int,
+) -> None:
+    shared.meter.count(metrics.GATEWAY_CONNECTIONS_EVICTED, reason.value, stage.value)
+    shared.log.record(caller_log.CallerEvicted(reason.value, stage.value, held_bytes))
--- a/corianderrill/gateway/caller_stream.py
+++ b/corianderrill/gateway/caller_stream.py
@@ -39,9 +39,15 @@
         """Read on from the bytes that were received."""
 
 
+class BodyReader(Reader, Protocol):
+    """A reader whose `body` may be cleared between the reads."""
+
+    body: bytearray
+
+
 @dataclasses.dataclass(slots=True)
 class Pace:
-    """How slowly bytes may move: `is_late` with a stall, or a low average."""
+    """The progress of a transfer, which may neither stall nor be slow on average."""
 
     started_at: float
     moved_at: float
@@ -68,7 +74,7 @@
         self,
         sock: object,
         holder: caller_resources.Holder,
-        memory: caller_resources.InputMemory,
+        memory: caller_resources.BufferMemory,
     ) -> None:
         self._sock = sock
         self._holder = holder
@@ -113,7 +119,7 @@
         self._holder.requests += 1
         self._enter(caller_resources.Stage.SERVING)
 
-    def read_body(self, reader: Reader, is_kept: bool = True) -> None:
+    def read_body(self, reader: BodyReader, is_kept: bool = True) -> None:
         """Read a body, and drop it unless it is kept.
 
         Raise InputError if it is not within the limits, and ConnectionError if the
@@ -159,12 +165,13 @@
             case caller_resources.Reason.MEMORY:
                 raise caller_input.NoMemoryError("no-memory")
             case caller_resources.Reason.CONNECTIONS:
-                raise ConnectionAbortedError("gave way to another connection")
+                raise ConnectionAbortedError("evicted for another connection")
 
     def _receive(self, deadline_at: float) -> int:
-        """Receive bytes. Raise TimeoutError after a time, ConnectionError at the end.
+        """Receive bytes; return their number.
 
-        Return their number.
+        Raise TimeoutError at the deadline, and ConnectionError if the caller has closed
+        the connection.
         """
         if self._bytes_since_pause > MAX_BYTES_AT_ONCE:
             self._pause()
@@ -237,7 +244,7 @@
         unsent = memoryview(piece)
         while unsent:
             if self._holder.evicted_for is not None:
-                raise ConnectionAbortedError("gave way to another connection")
+                raise ConnectionAbortedError("evicted for another connection")
             now = loop.read_clock()
             if now >= pace.deadline_at:
                 raise TimeoutError("the caller does not read")
--- a/corianderrill/gateway/cold_limits.py
+++ b/corianderrill/gateway/cold_limits.py
@@ -22,7 +22,7 @@
 MIN_OPEN_S = 0.5
 # All hosts together use at most this part of the limit, and at most that of the
 # bound. The slots of many hosts fall into a second at random, and the shares of hosts
-# with different news add up to one and a half.
+# that know different reports may add up to one and a half.
 MAX_PART_OF_LIMIT = 0.75
 MAX_PART_OF_BOUND = 0.4
 # The demand may grow by this factor before hosts tell each other.
--- a/corianderrill/gateway/demand.py
+++ b/corianderrill/gateway/demand.py
@@ -74,7 +74,7 @@
     _total_weights: dict[tuple[names.ServiceName, names.ZoneName], float] = (
         dataclasses.field(default_factory=dict)
     )
-    # By service; sums over many hosts.
+    # Sums over all hosts, kept until a report changes.
     _demands: dict[names.ServiceName, float] = dataclasses.field(default_factory=dict)
     # Reports that a restored store lacks, and when their leases have run out.
     _lapse_at: dict[names.HostName, float] = dataclasses.field(default_factory=dict)
--- a/corianderrill/gateway/load_balance.py
+++ b/corianderrill/gateway/load_balance.py
@@ -18,7 +18,8 @@
 
 # Largest random increase of a cost, as a share of it.
 COST_JITTER = 0.05
-# At this ratio of the lowest cost in the own zone to that elsewhere, all leave.
+# At this ratio of the lowest cost in the own zone to that elsewhere, all attempts leave
+# the zone.
 FULL_SPILL_RATIO = 1.2
 # A replica whose median latency over this time is at least this multiple of what is
 # expected is slow for longer than a pause or a slowdown, and is tried again less soon.
@@ -116,6 +117,7 @@
         sent_since = sum(at > load.reported_at for at in pending.values())
         reported = load.estimate_reported_slowness(sent_since, now)
         slowness += replica_load.REPORT_WEIGHT * (reported - slowness)
+        # The reported queue counts the pending attempts as well.
         pending_weight -= replica_load.REPORT_WEIGHT
     if now < replica.warmup_ends_at or replica.is_cold(now):
         slowness *= replicas.WARMUP_SLOWNESS_FACTOR
--- a/corianderrill/gateway/rate_limits.py
+++ b/corianderrill/gateway/rate_limits.py
@@ -36,12 +36,13 @@
 MIN_TOTAL_PER_S = 1.0
 # How long a host tells the others that a limit was lifted.
 LIFT_NEWS_S = 5.0
-# A replica that says that it is cold for longer is asked again after this time.
+# A replica that says that it is cold for longer counts as cold for this time.
 MAX_ANNOUNCED_COLD_S = 600.0
-# Of a replica that is cold for little longer than the store tells, others are not told.
+# Other hosts are not told of a replica that is cold for less than this beyond the time
+# that the store tells.
 KNOWN_COLD_SLACK_S = 1.0
 # All hosts read each report; a zone may return with hundreds of cold replicas.
-MAX_COLD_NEWS = 32
+MAX_REPORTED_COLD = 32
 
 
 class NoticeOutcome(enum.Enum):
@@ -82,7 +83,7 @@
     def record_reply(
         self, replica: replicas.Replica, reply: replies.Reply, now: float
     ) -> None:
-        """Apply what a reply says about the limit of its replica and about its warmth.
+        """Apply what a reply says about the limit and the warm-up of its replica.
 
         A reply without a limit lifts it only if it is a success: others may come from
         a layer of the replica that knows no limits.
@@ -91,7 +92,7 @@
             case replies.Warmup(left_s):
                 bounded_s = min(left_s, MAX_ANNOUNCED_COLD_S)
                 replica.announced_cold_until = now + bounded_s
-                replica.warmth_told_at = now
+                replica.warmup_told_at = now
                 self._announced_until[replica.id] = now + bounded_s
                 self._note_cold(replica, "reply", now)
             case replies.InvalidWarmup(text) if replica.warmup_limit_per_s is not None:
@@ -134,7 +135,7 @@
                 self._lift(replica, NoticeOutcome.LIFTED_ELSEWHERE)
         return True
 
-    def apply_cold_news(
+    def apply_reported_cold(
         self, report: demand.DemandReport, current: view.View, now: float
     ) -> None:
         """Take replicas for cold that said so to another host.
@@ -143,7 +144,7 @@
         """
         for replica_id, left_s in report.cold_s.items():
             replica = current.find_replica(replica_id)
-            if replica is None or now - replica.warmth_told_at < demand.SETTLING_TIME_S:
+            if replica is None or now - replica.warmup_told_at < demand.SETTLING_TIME_S:
                 continue
             until = now + min(left_s, MAX_ANNOUNCED_COLD_S)
             replica.announced_cold_until = max(replica.announced_cold_until, until)
@@ -163,7 +164,7 @@
         own = self.directory.get_own()
         published = () if own is None else own.cold_s
         reported = self.directory.list_cold_of_others()
-        news = [
+        unknown = [
             replica
             for replica in self._cold
             if (until := self._announced_until.get(replica.id)) is not None
@@ -172,7 +173,7 @@
         ]
         return {
             replica.id: self._announced_until[replica.id] - now
-            for replica in sorted(news, key=_get_id)[:MAX_COLD_NEWS]
+            for replica in sorted(unknown, key=_get_id)[:MAX_REPORTED_COLD]
         }
 
     def list_lifted(self, now: float) -> frozenset[replicas.InstanceId]:
--- a/corianderrill/gateway/replica_load.py
+++ b/corianderrill/gateway/replica_load.py
@@ -12,12 +12,12 @@
 
 # Slowdowns of replicas last for about half a second; older replies say little of them.
 HALF_LIFE_S = 0.4
-# The usual latency counts as much as this many replies of just now.
+# The usual latency counts as much as this many replies that have just come.
 USUAL_WEIGHT = 0.5
 # A longer latency is mostly a pause, which is over when its reply comes; a single one
 # must not move requests to another zone.
 MAX_RATIO = 7.5
-# However fast its replies were, a replica is expected to need this much.
+# However fast its replies were, a replica is expected to take this multiple.
 MIN_SLOWNESS = 0.5
 # What is usual follows the latencies with this half-life; replies that come together,
 # as after a pause, count little in it. No longer latency than this multiple is usual.
@@ -100,9 +100,10 @@
         return slowness if slowness > MIN_SLOWNESS else MIN_SLOWNESS
 
     def estimate_reported_slowness(self, sent_since: int, now: float) -> float:
-        """Return the same by the last report; `sent_since` requests were sent after it.
+        """Return the latency to expect by the last report, as the same multiple.
 
-        A request waits for what is ahead of it beyond the slots that are free.
+        `sent_since` is how many requests were sent after it. A request waits for what
+        is ahead of it beyond the slots that are free.
         """
         age_s = max(now - self.reported_at, 0.0)
         queue_decay = 0.5 ** (age_s / QUEUE_HALF_LIFE_S)
--- a/corianderrill/gateway/replica_selection.py
+++ b/corianderrill/gateway/replica_selection.py
@@ -23,7 +23,7 @@
 
 
 def _ignore_choice(_choice: load_balance.Choice) -> None:
-    """Take the place of a callback."""
+    """Do nothing; the default for `on_cross_zone`."""
 
 
 def select_replica(
--- a/corianderrill/gateway/replicas.py
+++ b/corianderrill/gateway/replicas.py
@@ -96,9 +96,9 @@
     `warmup_limit_per_s` is what it takes from all hosts together while it is cold, None
     without a limit. It is cold until the latest of `warmup_ends_at`,
     `announced_cold_until`, and `service_warmup_s` after `cold_since`: the start of its
-    process, or the return of its zone. Its own reply said how warm it is last at
-    `warmth_told_at`. `cold_slot_at` is the start of this host's next slot for it, None
-    if it has had none.
+    process, or the return of its zone. The last reply that said how long it is cold
+    came at `warmup_told_at`. `cold_slot_at` is the start of this host's next slot for
+    it, None if it has had none.
     """
 
     registration: Registration
@@ -130,7 +130,7 @@
     service_warmup_s: float = 0.0
     cold_since: float = -math.inf
     announced_cold_until: float = -math.inf
-    warmth_told_at: float = -math.inf
+    warmup_told_at: float = -math.inf
     cold_slot_at: float | None = None
 
     @property
@@ -262,7 +262,7 @@
         return now < self.quiet_until
 
     def compute_cold_end(self) -> float:
-        """Return until when the replica is cold, be there a limit for that or not."""
+        """Return until when the replica is cold, whether or not that limits it."""
         return max(self.compute_stored_cold_end(), self.announced_cold_until)
 
     def compute_stored_cold_end(self) -> float:
--- a/corianderrill/gateway/shared_state.py
+++ b/corianderrill/gateway/shared_state.py
@@ -61,7 +61,6 @@
     latency_by_route: dict[routes.RouteName, latency.LatencyEstimator] = (
         dataclasses.field(default_factory=dict)
     )
-
     zone_regions: Mapping[names.ZoneName, names.RegionName] = dataclasses.field(
         default_factory=dict
     )
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -151,7 +151,7 @@
             return
         is_new = self.limits.apply_report(host, report, item.revision, now)
         if is_new and report is not None:
-            self.limits.apply_cold_news(report, self.view, now)
+            self.limits.apply_reported_cold(report, self.view, now)
 
     def _apply_aggregator_item(self, item: store.Item) -> None:
         try:
--- a/corianderrill/measures/balance.py
+++ b/corianderrill/measures/balance.py
@@ -43,9 +43,9 @@
 SAME_ZONE_DELAY_S = 0.0001
 OTHER_ZONE_DELAY_S = 0.001
 GOAL_S = 0.0925
-SPELL_S = 0.6
-SPELL_SHARE = 1 / 7
-SPELL_FACTOR = 2.5
+SLOWDOWN_S = 0.6
+SLOWDOWN_SHARE = 1 / 7
+SLOWDOWN_FACTOR = 2.5
 PAUSE_S = 0.1
 PAUSE_INTERVAL_S = 2.4
 WAVE_S = 6.0
@@ -80,13 +80,13 @@
     load: float = 0.45
     wave: float = 0.0
     speeds: tuple[float, ...] = (1.0,)
-    has_spells: bool = True
+    has_slowdowns: bool = True
     has_pauses: bool = True
     sends_load: bool = False
 
 
 PATTERNS = (
-    Pattern("calm-one", has_spells=False, load=0.35),
+    Pattern("calm-one", has_slowdowns=False, load=0.35),
     Pattern("hosts-one"),
     Pattern("hosts-several", replicas_per_zone=4),
     Pattern("hosts-several-load", replicas_per_zone=4, sends_load=True),
@@ -121,11 +121,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Server:
-    """One replica as it is: slots, a bounded queue, pauses and slow spells."""
+    """One replica as it is: slots, a bounded queue, pauses and slowdowns."""
 
     speed: float
     pause_at_s: float
-    slow_spells: Sequence[bool]
+    slowdowns: Sequence[bool]
     has_pauses: bool
     _free_at: list[float] = dataclasses.field(default_factory=lambda: [0.0] * SLOTS)
     _starts: list[float] = dataclasses.field(default_factory=list)
@@ -146,7 +146,7 @@
 
     def get_factor(self, now: float) -> float:
         """Return how much slower than usual the replica is."""
-        return SPELL_FACTOR if self.slow_spells[int(now / SPELL_S)] else 1.0
+        return SLOWDOWN_FACTOR if self.slowdowns[int(now / SLOWDOWN_S)] else 1.0
 
     def count_pending(self, now: float) -> int:
         """Return how many requests run or wait."""
@@ -212,7 +212,7 @@
     requests: int = 0
 
 
-class Site:
+class Simulation:
     """Choosers and replicas of one run, and the events under way."""
 
     def __init__(
@@ -221,7 +221,7 @@
         self._pattern = pattern
         self._policy = policy
         self._totals = totals
-        self._load = random.Random(seed)
+        self._load_rng = random.Random(seed)
         self._now = 0.0
         self._events: list[tuple[float, int, Callable, tuple]] = []
         self._numbers = itertools.count()
@@ -238,14 +238,14 @@
         ]
 
     def _build_server(self, index: int) -> Server:
-        spells = [
-            self._pattern.has_spells and self._load.random() < SPELL_SHARE
-            for _ in range(int(2 * DURATION_S / SPELL_S))
+        slowdowns = [
+            self._pattern.has_slowdowns and self._load_rng.random() < SLOWDOWN_SHARE
+            for _ in range(int(2 * DURATION_S / SLOWDOWN_S))
         ]
         return Server(
             self._pattern.speeds[index % len(self._pattern.speeds)],
-            self._load.random() * PAUSE_INTERVAL_S,
-            spells,
+            self._load_rng.random() * PAUSE_INTERVAL_S,
+            slowdowns,
             self._pattern.has_pauses,
         )
 
@@ -287,23 +287,24 @@
             event(*arguments)
 
     def _plan_arrivals(self, zone: names.ZoneName, zone_number: int) -> None:
-        pattern, load = self._pattern, self._load
+        pattern, rng = self._pattern, self._load_rng
         senders = [chooser for chooser in self._choosers if chooser.zone == zone]
         capacity_per_s = sum(SLOTS / server.speed for server in self._servers) / WORK_S
         mean_factor = sum(factor * share for factor, share in KINDS)
         mean_per_s = pattern.load * capacity_per_s / mean_factor / len(ZONES)
         at = 0.0
-        while (at := at + load.expovariate(mean_per_s * (1 + pattern.wave))) < (
+        while (at := at + rng.expovariate(mean_per_s * (1 + pattern.wave))) < (
             DURATION_S
         ):
             phase = 2 * math.pi * (at / WAVE_S + zone_number / len(ZONES))
-            height = (1 + pattern.wave * math.sin(phase)) / (1 + pattern.wave)
-            if load.random() >= height:
+            kept_share = (1 + pattern.wave * math.sin(phase)) / (1 + pattern.wave)
+            # Arrivals are drawn at the peak rate and thinned to the present one.
+            if rng.random() >= kept_share:
                 continue
-            kind = int(load.random() >= KINDS[0][1])
-            spread = load.lognormvariate(-(WORK_SIGMA**2) / 2, WORK_SIGMA)
+            kind = int(rng.random() >= KINDS[0][1])
+            spread = rng.lognormvariate(-(WORK_SIGMA**2) / 2, WORK_SIGMA)
             request = Request(
-                load.choice(senders), kind, WORK_S * KINDS[kind][0] * spread, at
+                rng.choice(senders), kind, WORK_S * KINDS[kind][0] * spread, at
             )
             request.is_measured = at >= WARM_UP_S
             self._schedule(at, self._start, request)
@@ -535,7 +536,7 @@
     """Return the figures of a pattern and a policy over all seeds."""
     totals = Totals()
     for seed in seeds:
-        Site(pattern, POLICIES[policy], seed, totals).run()
+        Simulation(pattern, POLICIES[policy], seed, totals).run()
     return Row(
         pattern=pattern.name,
         policy=policy,
--- a/tests/test_gateway_caller_resources.py
+++ b/tests/test_gateway_caller_resources.py
@@ -21,12 +21,12 @@
         self.evictions.append(reason)
 
 
-class Crowd:
+class ConnectionGroup:
     """Connections with a common limit; `evicted` numbers those that ended."""
 
     def __init__(self, max_connections=100, min_limit_bytes=0):
         self.records = []
-        self.memory = resources.InputMemory(
+        self.memory = resources.BufferMemory(
             LIMIT_BYTES,
             lambda: min_limit_bytes,
             lambda *record: self.records.append(record),
@@ -51,56 +51,56 @@
 
 
 def test_connection_that_holds_most_ends_when_memory_runs_short():
-    crowd = Crowd()
+    group = ConnectionGroup()
     for count in (300_000, 600_000, 200_000):
-        crowd.memory.hold(crowd.open(), count)
-    assert crowd.evicted == [1]
-    assert crowd.holders[1].connection.evictions == [REASONS.MEMORY]
-    assert crowd.records == [(REASONS.MEMORY, STAGES.READING, 600_000)]
-    assert crowd.memory.charged_bytes < LIMIT_BYTES
+        group.memory.hold(group.open(), count)
+    assert group.evicted == [1]
+    assert group.holders[1].connection.evictions == [REASONS.MEMORY]
+    assert group.records == [(REASONS.MEMORY, STAGES.READING, 600_000)]
+    assert group.memory.charged_bytes < LIMIT_BYTES
 
 
 # Guards against an unsafe request that is cut off while it may run.
 def test_request_that_is_being_served_does_not_end():
-    crowd = Crowd()
-    crowd.memory.hold(crowd.open(STAGES.SERVING), 900_000)
-    crowd.memory.hold(crowd.open(), 300_000)
-    assert crowd.evicted == [1]
+    group = ConnectionGroup()
+    group.memory.hold(group.open(STAGES.SERVING), 900_000)
+    group.memory.hold(group.open(), 300_000)
+    assert group.evicted == [1]
 
 
 # Guards against small requests that are refused while large ones fill the memory.
 def test_small_request_is_read_while_served_ones_fill_the_memory():
-    crowd = Crowd()
-    crowd.memory.hold(crowd.open(STAGES.SERVING), 2 * LIMIT_BYTES)
-    crowd.memory.hold(crowd.open(), resources.FREE_BYTES)
-    assert crowd.evicted == []
+    group = ConnectionGroup()
+    group.memory.hold(group.open(STAGES.SERVING), 2 * LIMIT_BYTES)
+    group.memory.hold(group.open(), resources.FREE_BYTES)
+    assert group.evicted == []
 
 
 # Guards against a host whose share is less than one request that it has to serve.
 def test_greatest_request_fits_whatever_the_limit():
-    crowd = Crowd(min_limit_bytes=3 * LIMIT_BYTES)
-    crowd.memory.hold(crowd.open(), 3 * LIMIT_BYTES)
-    assert crowd.evicted == []
+    group = ConnectionGroup(min_limit_bytes=3 * LIMIT_BYTES)
+    group.memory.hold(group.open(), 3 * LIMIT_BYTES)
+    assert group.evicted == []
 
 
 # Guards against an answer that can never be sent, as it is greater than the share.
 def test_only_connection_that_holds_much_does_not_end():
-    crowd = Crowd()
-    crowd.memory.hold(crowd.open(), resources.FREE_BYTES)
-    crowd.memory.hold(crowd.open(STAGES.WRITING), 3 * LIMIT_BYTES)
-    assert crowd.evicted == []
-    crowd.memory.hold(crowd.open(), 2 * resources.FREE_BYTES)
-    assert crowd.evicted == [1]
+    group = ConnectionGroup()
+    group.memory.hold(group.open(), resources.FREE_BYTES)
+    group.memory.hold(group.open(STAGES.WRITING), 3 * LIMIT_BYTES)
+    assert group.evicted == []
+    group.memory.hold(group.open(), 2 * resources.FREE_BYTES)
+    assert group.evicted == [1]
 
 
 def test_closed_connections_give_their_bytes_back():
-    crowd = Crowd()
+    group = ConnectionGroup()
     for _ in range(10):
-        holder = crowd.open()
-        crowd.memory.hold(holder, 900_000)
-        crowd.slots.close(holder)
-    assert crowd.evicted == []
-    assert crowd.memory.charged_bytes == 0
+        holder = group.open()
+        group.memory.hold(holder, 900_000)
+        group.slots.close(holder)
+    assert group.evicted == []
+    assert group.memory.charged_bytes == 0
 
 
 @pytest.mark.parametrize(
@@ -116,11 +116,11 @@
     ids=["new", "oldest", "kept", "reading", "stalled", "none"],
 )
 def test_new_connection_displaces_the_one_that_is_needed_least(others, victim):
-    crowd = Crowd(max_connections=2)
+    group = ConnectionGroup(max_connections=2)
     for stage, since, requests in others:
-        crowd.open(stage, since, requests=requests)
-    crowd.open()
-    assert crowd.evicted == [victim]
+        group.open(stage, since, requests=requests)
+    group.open()
+    assert group.evicted == [victim]
 
 
 @pytest.mark.parametrize(
@@ -136,7 +136,7 @@
 def test_limits_follow_from_those_of_the_process(memory_bytes, descriptors, expected):
     limits = resources.derive_limits(memory_bytes, descriptors)
     assert expected == (
-        limits.max_input_bytes,
+        limits.max_buffer_bytes,
         limits.max_caller_connections,
         limits.max_host_connections,
     )
@@ -153,33 +153,33 @@
 @hypothesis.settings(max_examples=300, deadline=None)
 @hypothesis.given(strategies.lists(OPERATIONS, max_size=60))
 def test_sum_is_that_of_the_connections_and_within_the_limit(operations):
-    crowd = Crowd(max_connections=8)
+    group = ConnectionGroup(max_connections=8)
     clock = itertools.count(200)
     closed = set()
     for operation, number, count in operations:
-        if operation == "open" or not crowd.holders:
-            crowd.open(STAGES.IDLE, now=float(next(clock)))
+        if operation == "open" or not group.holders:
+            group.open(STAGES.IDLE, now=float(next(clock)))
             continue
-        holder = crowd.holders[number % len(crowd.holders)]
+        holder = group.holders[number % len(group.holders)]
         if holder in closed:
             continue
         if operation == "close":
-            crowd.slots.close(holder)
+            group.slots.close(holder)
             closed.add(holder)
         elif operation == "hold":
-            crowd.memory.hold(holder, count)
+            group.memory.hold(holder, count)
         else:
             holder.stage = operation
     alive = [
         holder
-        for holder in crowd.holders
+        for holder in group.holders
         if holder not in closed and holder.evicted_for is None
     ]
-    assert crowd.memory.charged_bytes == sum(h.charged_bytes for h in alive)
+    assert group.memory.charged_bytes == sum(h.charged_bytes for h in alive)
     assert len(alive) <= 8
-    assert all(len(h.connection.evictions) <= 1 for h in crowd.holders)
+    assert all(len(h.connection.evictions) <= 1 for h in group.holders)
     reading = [h for h in alive if h.stage is STAGES.READING]
     if operations and operations[-1][0] == "hold" and reading:
         served = sum(h.charged_bytes for h in alive if h.stage is STAGES.SERVING)
         largest = max(h.charged_bytes for h in alive)
-        assert crowd.memory.charged_bytes <= max(LIMIT_BYTES, served, largest)
+        assert group.memory.charged_bytes <= max(LIMIT_BYTES, served, largest)
--- a/tests/test_gateway_caller_stream.py
+++ b/tests/test_gateway_caller_stream.py
@@ -28,12 +28,12 @@
         self.stream.interrupt()
 
 
-class Scene:
+class StreamPair:
     """A stream, and the caller at the other end of its socket."""
 
     def __init__(self, memory=None):
         self.sock, self.caller = socket.socketpair()
-        self.memory = memory or caller_resources.InputMemory(
+        self.memory = memory or caller_resources.BufferMemory(
             LIMIT_BYTES, lambda: 0, lambda *_: None
         )
         connection = Connection()
@@ -52,7 +52,7 @@
         self.stream.read_body(reader)
         return bytes(reader.body)
 
-    def drip(self, data):
+    def send_bytewise(self, data):
         """Send bytes one by one from a green thread."""
 
         def send():
@@ -69,8 +69,8 @@
 
 
 @pytest.fixture
-def scene():
-    running = Scene()
+def pair():
+    running = StreamPair()
     yield running
     running.close()
 
@@ -80,106 +80,108 @@
     monkeypatch.setattr(caller_stream, "STALL_TIMEOUT_S", STALL_S)
 
 
-def test_connection_that_stays_idle_ends_after_the_idle_time(scene):
+def test_connection_that_stays_idle_ends_after_the_idle_time(pair):
     began_at = time.monotonic()
     with pytest.raises(TimeoutError):
-        scene.read_head()
+        pair.read_head()
     assert time.monotonic() - began_at >= IDLE_S
-    assert scene.holder.stage is caller_resources.Stage.IDLE
+    assert pair.holder.stage is caller_resources.Stage.IDLE
 
 
 # Guards against a head for which each byte has a time of its own.
-def test_head_that_is_dripped_ends_after_the_time_for_a_head(scene):
-    scene.drip(b"G" * 1_000)
+def test_head_that_is_sent_bytewise_ends_after_the_time_for_a_head(pair):
+    pair.send_bytewise(b"G" * 1_000)
     began_at = time.monotonic()
     with pytest.raises(TimeoutError):
-        scene.read_head()
+        pair.read_head()
     assert time.monotonic() - began_at < IDLE_S
-    assert scene.holder.stage is caller_resources.Stage.READING
+    assert pair.holder.stage is caller_resources.Stage.READING
 
 
 # Guards against a kept connection that ends early since a client sent an empty line
 # after the request before.
-def test_empty_line_does_not_begin_a_head(scene):
-    scene.caller.sendall(b"\r\n")
-    eventlet.spawn_after(2 * HEAD_S, scene.caller.sendall, b"GET / HTTP/1.1\r\n\r\n")
-    assert scene.read_head().request_line == b"GET / HTTP/1.1\r\n"
+def test_empty_line_does_not_begin_a_head(pair):
+    pair.caller.sendall(b"\r\n")
+    eventlet.spawn_after(2 * HEAD_S, pair.caller.sendall, b"GET / HTTP/1.1\r\n\r\n")
+    assert pair.read_head().request_line == b"GET / HTTP/1.1\r\n"
 
 
-def test_body_that_stalls_is_too_slow(scene, short_stall):
-    scene.caller.sendall(b"abc")
+def test_body_that_stalls_is_too_slow(pair, short_stall):
+    pair.caller.sendall(b"abc")
     with pytest.raises(caller_input.TooSlowError):
-        scene.read_body(4)
+        pair.read_body(4)
 
 
 # Guards against a body that holds its connection for as long as each byte is in time.
-def test_body_that_is_dripped_below_the_least_average_is_too_slow(scene, short_stall):
-    scene.drip(b"a" * 1_000)
+def test_body_that_is_sent_bytewise_below_the_least_average_is_too_slow(
+    pair, short_stall
+):
+    pair.send_bytewise(b"a" * 1_000)
     with pytest.raises(caller_input.TooSlowError), eventlet.Timeout(LONG_S):
-        scene.read_body(1_000)
+        pair.read_body(1_000)
 
 
-def test_body_that_is_dripped_above_the_least_average_is_read(
-    scene, short_stall, monkeypatch
+def test_body_that_is_sent_bytewise_above_the_least_average_is_read(
+    pair, short_stall, monkeypatch
 ):
     monkeypatch.setattr(caller_stream, "MIN_BYTES_PER_S", 0.1 / PAUSE_S)
-    scene.drip(b"a" * 40)
-    assert scene.read_body(40) == b"a" * 40
+    pair.send_bytewise(b"a" * 40)
+    assert pair.read_body(40) == b"a" * 40
 
 
-def test_answer_that_is_not_read_ends_with_an_error(scene, short_stall):
+def test_answer_that_is_not_read_ends_with_an_error(pair, short_stall):
     with pytest.raises(TimeoutError):
-        scene.stream.send([b"a" * 5_000_000])
-    assert scene.holder.held_bytes == 0
+        pair.stream.send([b"a" * 5_000_000])
+    assert pair.holder.held_bytes == 0
 
 
-def test_long_answer_is_sent_whole(scene):
+def test_long_answer_is_sent_whole(pair):
     pieces = [b"head", b"b" * 3_000_000, b"tail"]
-    sender = eventlet.spawn(scene.stream.send, pieces)
+    sender = eventlet.spawn(pair.stream.send, pieces)
     received = b""
     with eventlet.Timeout(LONG_S):
         while len(received) < 3_000_008:
-            received += scene.caller.recv(65_536)
+            received += pair.caller.recv(65_536)
     sender.wait()
     assert received == b"".join(pieces)
 
 
 # Guards against a connection that keeps its bytes until its caller sends more.
-def test_connection_that_waits_for_its_body_ends_at_once_when_evicted(scene):
-    other = Scene(scene.memory)
+def test_connection_that_waits_for_its_body_ends_at_once_when_evicted(pair):
+    other = StreamPair(pair.memory)
     other.holder.stage = caller_resources.Stage.SERVING
-    scene.caller.sendall(b"a" * 100_000)
-    reading = eventlet.spawn(scene.read_body, 200_000)
-    while scene.holder.held_bytes < 100_000:
+    pair.caller.sendall(b"a" * 100_000)
+    reading = eventlet.spawn(pair.read_body, 200_000)
+    while pair.holder.held_bytes < 100_000:
         eventlet.sleep(PAUSE_S)
-    scene.memory.hold(other.holder, LIMIT_BYTES)
+    pair.memory.hold(other.holder, LIMIT_BYTES)
     with pytest.raises(caller_input.NoMemoryError), eventlet.Timeout(LONG_S):
         reading.wait()
     other.close()
 
 
 # Guards against a throw into a green thread that has gone on to other work.
-def test_interrupt_of_a_connection_that_does_not_wait_does_nothing(scene):
-    scene.stream.interrupt()
+def test_interrupt_of_a_connection_that_does_not_wait_does_nothing(pair):
+    pair.stream.interrupt()
     eventlet.sleep(0)
-    scene.caller.sendall(b"abc")
-    assert scene.read_body(3) == b"abc"
+    pair.caller.sendall(b"abc")
+    assert pair.read_body(3) == b"abc"
 
 
-def test_linger_drops_a_bounded_number_of_bytes(scene, monkeypatch):
+def test_linger_drops_a_bounded_number_of_bytes(pair, monkeypatch):
     monkeypatch.setattr(caller_stream, "MAX_LINGER_BYTES", 100_000)
 
     def flood():
         with contextlib.suppress(OSError):
             while True:
-                scene.caller.sendall(b"a" * 10_000)
+                pair.caller.sendall(b"a" * 10_000)
 
     eventlet.spawn(flood)
     with eventlet.Timeout(LONG_S):
-        scene.stream.linger()
+        pair.stream.linger()
 
 
-def test_linger_ends_after_its_time(scene, monkeypatch):
+def test_linger_ends_after_its_time(pair, monkeypatch):
     monkeypatch.setattr(caller_stream, "LINGER_S", 0.2)
     with eventlet.Timeout(LONG_S):
-        scene.stream.linger()
+        pair.stream.linger()
--- a/tests/test_gateway_cold_limits.py
+++ b/tests/test_gateway_cold_limits.py
@@ -338,10 +338,10 @@
     encoded = documents.encode_demand(report)
     decoded = documents.decode_demand("demand/b", encoded)
     assert other.limits.apply_report(decoded.host, decoded, 5, 101.0)
-    other.limits.apply_cold_news(decoded, other.view, 101.0)
+    other.limits.apply_reported_cold(decoded, other.view, 101.0)
     assert heard.is_cold(104.9)
     assert not heard.is_cold(105.0)
-    # What it only heard is no news of its own.
+    # A host does not report what it knows only from a report.
     assert other.limits.list_announced_cold(101.0) == {}
     assert known.limits.list_announced_cold(105.0) == {}
 
@@ -372,7 +372,7 @@
     for replica in known.view.list_replicas():
         known.reply(replica, b"9000", 100.0)
     first = known.limits.list_announced_cold(101.0)
-    assert len(first) == rate_limits.MAX_COLD_NEWS
+    assert len(first) == rate_limits.MAX_REPORTED_COLD
     assert first.keys() == known.limits.list_announced_cold(102.0).keys()
 
 
@@ -383,9 +383,9 @@
     report = demand.DemandReport(
         names.HostName("b"), builders.ZONE, {}, cold_s={replica.id: 5.0}
     )
-    known.limits.apply_cold_news(report, known.view, 101.0)
+    known.limits.apply_reported_cold(report, known.view, 101.0)
     assert not replica.is_cold(101.0)
-    known.limits.apply_cold_news(report, known.view, 103.0)
+    known.limits.apply_reported_cold(report, known.view, 103.0)
     assert replica.is_cold(103.0)
 
 
--- a/tests/test_gateway_load_balance.py
+++ b/tests/test_gateway_load_balance.py
@@ -235,53 +235,61 @@
 def test_hundreds_of_hosts_with_old_information_load_replicas_more_evenly():
     """Pattern: many hosts, each of which asks a replica about once in two seconds."""
     rows = measure_all("hosts-several-load", (1,))
-    new, today = rows["balanced"], rows["lowest-cost"]
-    assert new.spread < 0.97 * today.spread < rows["random"].spread
-    assert new.uneven < today.uneven < rows["random"].uneven
-    assert new.waiting_p99_ms < today.waiting_p99_ms < rows["random"].waiting_p99_ms
-    assert new.cross_zone <= today.cross_zone < rows["least-loaded"].cross_zone
+    balanced, lowest_cost = rows["balanced"], rows["lowest-cost"]
+    assert balanced.spread < 0.97 * lowest_cost.spread < rows["random"].spread
+    assert balanced.uneven < lowest_cost.uneven < rows["random"].uneven
+    assert (
+        balanced.waiting_p99_ms
+        < lowest_cost.waiting_p99_ms
+        < rows["random"].waiting_p99_ms
+    )
+    assert (
+        balanced.cross_zone <= lowest_cost.cross_zone < rows["least-loaded"].cross_zone
+    )
 
 
 def test_aggregators_share_several_replicas_more_evenly():
-    """Pattern: a few aggregators with much of the load; pauses and slow spells."""
+    """Pattern: a few aggregators with much of the load; pauses and slowdowns."""
     rows = measure_all("aggregators-several", (1,))
-    new, today = rows["balanced"], rows["lowest-cost"]
-    assert new.spread < 0.9 * today.spread
-    assert today.spread < rows["least-loaded"].spread < rows["random"].spread
-    assert new.uneven < 0.75 * today.uneven < 0.75 * rows["least-loaded"].uneven
-    assert new.waiting_p99_ms < 0.85 * today.waiting_p99_ms
-    assert new.cross_zone < 0.6 * today.cross_zone
+    balanced, lowest_cost = rows["balanced"], rows["lowest-cost"]
+    assert balanced.spread < 0.9 * lowest_cost.spread
+    assert lowest_cost.spread < rows["least-loaded"].spread < rows["random"].spread
+    assert (
+        balanced.uneven < 0.75 * lowest_cost.uneven < 0.75 * rows["least-loaded"].uneven
+    )
+    assert balanced.waiting_p99_ms < 0.85 * lowest_cost.waiting_p99_ms
+    assert balanced.cross_zone < 0.6 * lowest_cost.cross_zone
 
 
 def test_zones_whose_demand_swings_spill_over_without_refusals():
     """Pattern: demand of zones in waves out of phase, one replica a zone."""
     rows = measure_all("waves-aggregators", (1, 2, 3))
-    new, today = rows["balanced"], rows["lowest-cost"]
-    assert new.spread < today.spread < rows["random"].spread
-    assert new.refused < 0.5 * today.refused < rows["random"].refused
-    assert new.cross_zone < 0.8 * today.cross_zone
-    assert new.hedged < 0.7 * today.hedged
+    balanced, lowest_cost = rows["balanced"], rows["lowest-cost"]
+    assert balanced.spread < lowest_cost.spread < rows["random"].spread
+    assert balanced.refused < 0.5 * lowest_cost.refused < rows["random"].refused
+    assert balanced.cross_zone < 0.8 * lowest_cost.cross_zone
+    assert balanced.hedged < 0.7 * lowest_cost.hedged
 
 
 @pytest.mark.parametrize("name", ["calm-one", "hosts-one", "aggregators-one"])
 def test_choice_among_one_replica_a_zone_is_not_worse(name):
-    """Guards the deployments of today: neither longer waits nor more zone traffic."""
+    """Guards against longer waits, and against more traffic between zones."""
     seeds = (1, 2, 3, 4, 5, 6)
-    new = balance.measure(PATTERNS[name], "balanced", seeds)
-    today = balance.measure(PATTERNS[name], "lowest-cost", seeds)
-    assert new.cross_zone <= 1.05 * today.cross_zone
-    assert new.spread <= 1.05 * today.spread
-    assert new.waiting_p99_ms <= 1.05 * today.waiting_p99_ms
-    assert new.latency_p99_ms <= 1.05 * today.latency_p99_ms
-    assert new.refused <= today.refused + 0.003
+    balanced = balance.measure(PATTERNS[name], "balanced", seeds)
+    lowest_cost = balance.measure(PATTERNS[name], "lowest-cost", seeds)
+    assert balanced.cross_zone <= 1.05 * lowest_cost.cross_zone
+    assert balanced.spread <= 1.05 * lowest_cost.spread
+    assert balanced.waiting_p99_ms <= 1.05 * lowest_cost.waiting_p99_ms
+    assert balanced.latency_p99_ms <= 1.05 * lowest_cost.latency_p99_ms
+    assert balanced.refused <= lowest_cost.refused + 0.003
 
 
 def test_speeds_of_replicas_are_heeded():
     """Pattern: replicas of a zone whose work times differ almost twofold."""
-    new = balance.measure(PATTERNS["speeds"], "balanced", (1,))
-    today = balance.measure(PATTERNS["speeds"], "lowest-cost", (1,))
-    assert new.spread < today.spread
-    assert new.uneven < today.uneven
+    balanced = balance.measure(PATTERNS["speeds"], "balanced", (1,))
+    lowest_cost = balance.measure(PATTERNS["speeds"], "lowest-cost", (1,))
+    assert balanced.spread < lowest_cost.spread
+    assert balanced.uneven < lowest_cost.uneven
 
 
 def test_same_seed_gives_the_same_figures():
--- a/tests/utils/virtual_fleets.py
+++ b/tests/utils/virtual_fleets.py
@@ -106,7 +106,7 @@
         limits = site.tools.rate_limits
         now = self.loop.now()
         if limits.apply_report(host, report, revision, now) and report is not None:
-            limits.apply_cold_news(report, site.tools.view, now)
+            limits.apply_reported_cold(report, site.tools.view, now)
 
     def read_all(self, site):
         """Let a host that starts read all reports."""
