Let the test of hedges of a workspace begin with replicas that are not slow

Each round now begins with sound replies and then makes both slow, so a hedge is seen; it checks as much as before.

--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -21,6 +21,8 @@
     {"name": "anu", "api_keys": [OTHER_KEY], "priority": 1},
 ]
 PUBLIC = {"public": True}
+# By the ratio of the retry budget, with room for what was spent before.
+REQUESTS_FOR_AN_EXTRA_ATTEMPT = 12
 
 
 @pytest.fixture
@@ -164,16 +166,28 @@
         type(server)(server.service, server.zone, server.records)
         for server in (failing, slow)
     ]
-    for server in (failing, spare[0]):
-        server.status = "500 Internal Server Error"
-    for server in (slow, spare[1]):
-        server.delay_s = 0.3
     numbers = itertools.count()
     repeated = set()
 
-    def has_repeated_both():
+    def set_fault(is_faulty):
+        for server in (failing, spare[0]):
+            server.status = "500 Internal Server Error" if is_faulty else "200 OK"
+        for server in (slow, spare[1]):
+            server.delay_s = 0.3 if is_faulty else 0.0
+
+    def send_next():
         request_id = f"q-{next(numbers)}"
         send(rig, "/gather/x", request_id=request_id, headers={"X-Tenant": "anu"})
+        return request_id
+
+    def has_repeated_both():
+        # Sound replies allow the retry budget an extra attempt, and end what the host
+        # believes of a slowdown, in which it sends no hedge to a replica.
+        set_fault(False)
+        for _ in range(REQUESTS_FOR_AN_EXTRA_ATTEMPT):
+            send_next()
+        set_fault(True)
+        request_id = send_next()
         for pair in ((failing, spare[0]), (slow, spare[1])):
             if all(request_id in server.headers for server in pair):
                 repeated.add(pair)
