Reword quota comments and notes, and split the request path of wsgi_app

The route and the workspace of a request were selected by the same code twice in wsgi_app; it is one function now. No behaviour changes.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -37,8 +37,9 @@
 # Hosts may keep an idle connection for this long.
 KEEP_ALIVE_S = 30
 # How long an aggregator tells other hosts that a replica leaves.
-LEAVING_NEWS_S = 30.0
+LEAVING_NOTICE_S = 30.0
 
+# Requests to these paths are no queries.
 OTHER_PATHS = (store.RANGE_PATH, store.WATCH_PATH, quota_messages.PATH)
 
 
@@ -70,10 +71,10 @@
     def __call__(
         self, environ: dict[str, object], start_response: responses.StartResponse
     ) -> Iterable[bytes]:
-        """Serve one delegated query or call to the store (the WSGI entry point)."""
+        """Serve a delegated query, a call to the store or a message about quotas."""
         is_query = environ["RAW_PATH_INFO"] not in OTHER_PATHS
         response = (
-            self._serve_counted(environ) if is_query else self._relay_call(environ)
+            self._serve_counted(environ) if is_query else self._serve_other(environ)
         )
         if self.is_shutting_down:
             environ["corianderrill.connection"].close_connection = True
@@ -92,13 +93,13 @@
 
     def _list_leaving(self) -> Iterator[replica_notices.LeavingProcess]:
         """Yield the processes of replicas that announced recently that they leave."""
-        since = self._shared.loop.now() - LEAVING_NEWS_S
+        since = self._shared.loop.now() - LEAVING_NOTICE_S
         for registration in self._shared.view.list_leaving(since):
             yield replica_notices.LeavingProcess(
                 registration.id, registration.started_at_ms
             )
 
-    def _relay_call(self, environ: dict[str, object]) -> responses.Response:
+    def _serve_other(self, environ: dict[str, object]) -> responses.Response:
         if environ["RAW_PATH_INFO"] == quota_messages.PATH:
             return quota_app.respond(self._shared, environ)
         body = self._relay.answer(
@@ -194,7 +195,7 @@
             self.in_flight.forwarded.discard(query)
             watcher.stop()
         self._record(inbound, query, outcome)
-        request_records.record_held_back(self._shared, query)
+        request_records.record_held_in_queue(self._shared, query)
         response = _build_response(query, outcome)
         query.release()
         return response
--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -36,8 +36,9 @@
 # vacant slot. So the hosts with the most capacity come first.
 CANDIDACY_DELAY_CORES_S = 6.0
 RETRY_DELAY_S = 3.0
-# The former delay, with quotas: for the first host, and for each of the others, so that
-# not all hosts of a large zone call the store at once.
+# With quotas, the candidacy delay is shorter, since a vacant slot is without a quota
+# lessor. It grows with the number of hosts, so that not all hosts of a large zone call
+# the store at once.
 QUOTA_CANDIDACY_CORES_S = 1.0
 QUOTA_CANDIDACY_PER_HOST_CORES_S = 0.01
 # A store that was never restored names no later era.
--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -65,7 +65,8 @@
     """
 
     own_host: names.HostName
-    # Without them, the holders of slots take no queries and relay no store calls.
+    # Whether the holders of slots take queries and relay store calls. On small sites,
+    # they are quota lessors only.
     has_aggregators: bool = True
     _holders: dict[SlotKey, Aggregator | None] = dataclasses.field(default_factory=dict)
     _revisions: dict[SlotKey, int] = dataclasses.field(default_factory=dict)
--- a/corianderrill/gateway/answer_times.py
+++ b/corianderrill/gateway/answer_times.py
@@ -63,12 +63,12 @@
     )
 
 
-def compute_goal(
+def compute_answer_delay(
     route: routes.Route, sub_request_count: int, answer_margin_s: float
 ) -> float:
-    """Return when the answer has to leave to meet the route's goal, from its arrival.
+    """Return how long after its arrival a request is answered to meet the route's goal.
 
-    The caller receives it `answer_margin_s` later.
+    The caller receives the answer `answer_margin_s` later. Times are in seconds.
     """
     margin_s = answer_margin_s + ANSWER_MARGIN_PER_SUB_REQUEST_S * sub_request_count
     return max(route.goal_s - margin_s, 0.0)
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -84,7 +84,9 @@
         self.retry_after_s: float | None = None
         self._is_trial = is_trial
         self._untried: Sequence[attempts.SubRequest] = ()
-        goal_s = answer_times.compute_goal(route, len(services), answer_margin_s)
+        goal_s = answer_times.compute_answer_delay(
+            route, len(services), answer_margin_s
+        )
         required_count = route.count_required_replies(len(self.sub_requests))
         repeat_from = request.received_at
         if terms is not None:
@@ -129,7 +131,7 @@
 
     @property
     def goal_at(self) -> float:
-        """When the answer has to leave to meet the latency goal."""
+        """When the answer has to be sent to meet the latency goal."""
         return self._times.goal_at
 
     @property
@@ -460,7 +462,7 @@
         is_caller_gone = outcome is request_outcomes.Outcome.CALLER_DISCONNECTED
         pending = self.progress.list_pending()
         self._sender.withdraw_unsent(pending)
-        self._delegated.end_after(0.0 if is_caller_gone else LATE_REPLY_TIMEOUT_S)
+        self._delegated.cancel_after(0.0 if is_caller_gone else LATE_REPLY_TIMEOUT_S)
         sent = [attempt for attempt in pending if attempt.sent_at is not None]
         attempt_records.record_overdue(
             pending, self.shared, self._latency_estimator, self.loop.now()
--- a/corianderrill/gateway/delegated_sub_requests.py
+++ b/corianderrill/gateway/delegated_sub_requests.py
@@ -83,7 +83,7 @@
             sub_request.lost_delegations += 1
             self._progress.mark_done(sub_request)
 
-    def end_after(self, delay_s: float) -> None:
+    def cancel_after(self, delay_s: float) -> None:
         """Cancel the delegations that are still open after a delay."""
         for started in self._delegations:
             if started.outcome is None:
@@ -102,7 +102,7 @@
         )
 
     def release(self) -> None:
-        """Let go of the query and of the answers, once the response has been built."""
+        """Drop the references to the query and its answers; the response was built."""
         self._owner = None
         self._answers = []
         self._delegations = []
--- a/corianderrill/gateway/quota_client.py
+++ b/corianderrill/gateway/quota_client.py
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
+class LessorVerdict:
     """The answer for one request, and the term of a token that it got.
 
     The term is empty if there is none that could go back.
@@ -41,8 +41,8 @@
     term: quota_ledger.Term = quota_ledger.Term("")
 
 
-class Books(Protocol):
-    """What this host keeps of each workspace."""
+class Leases(Protocol):
+    """The quota leases of this host, by workspace."""
 
     def take_used(self, workspace: names.WorkspaceName) -> int:
         """Return how many requests ran under a lease since the last call."""
@@ -66,11 +66,11 @@
     workspace: names.WorkspaceName
     requests_per_s: float
     deadline: float
-    on_verdict: Callable[[Verdict], None]
+    on_verdict: Callable[[LessorVerdict], None]
     timer: loop.Timer | None = None
     is_done: bool = False
 
-    def finish(self, verdict: Verdict) -> None:
+    def finish(self, verdict: LessorVerdict) -> None:
         """Report the verdict."""
         self.is_done = True
         self.timer.cancel()
@@ -103,7 +103,7 @@
     zone: names.ZoneName
     get_pool: Callable[[names.Address], quota_exchanges.Pool]
     wants_slot: Callable[[], bool]
-    books: Books
+    leases: Leases
     loop: loop.Loop
     log: event_log.EventLog
     meter: metrics.Recorder
@@ -141,7 +141,7 @@
         if waiter in link.waiting:
             link.waiting.remove(waiter)
         self._record_loss(link, quota_exchanges.Outcome.OVERDUE)
-        waiter.finish(Verdict(quota_exchanges.Outcome.OVERDUE))
+        waiter.finish(LessorVerdict(quota_exchanges.Outcome.OVERDUE))
 
     def renew(
         self, holder: aggregators.Aggregator, workspaces: Iterable[names.WorkspaceName]
@@ -208,7 +208,7 @@
                 quota_messages.WorkspaceAsk(
                     workspace,
                     sum(not waiter.is_done for waiter in waiters),
-                    self.books.take_used(workspace),
+                    self.leases.take_used(workspace),
                     link.returned.pop(workspace, 0),
                 )
                 for workspace, waiters in asks.items()
@@ -226,7 +226,7 @@
             self._record_loss(link, outcome)
             for waiter in itertools.chain.from_iterable(exchange.asks.values()):
                 if not waiter.is_done:
-                    waiter.finish(Verdict(outcome))
+                    waiter.finish(LessorVerdict(outcome))
         else:
             self._record_answer(link)
             self._distribute(exchange)
@@ -246,7 +246,7 @@
                 grant.units
                 and now - exchange.sent_at < quota_exchanges.MESSAGE_TIMEOUT_S
             ):
-                self.books.add_lease(workspace, grant, exchange.sent_at)
+                self.leases.add_lease(workspace, grant, exchange.sent_at)
             unused = self._finish_waiters(waiters, grant, term, now)
             if unused:
                 link.returned[workspace] += unused
@@ -266,17 +266,21 @@
             if waiter.is_done:
                 continue
             if now > waiter.deadline:
-                waiter.finish(Verdict(quota_exchanges.Outcome.OVERDUE))
+                waiter.finish(LessorVerdict(quota_exchanges.Outcome.OVERDUE))
             elif grant.granted == quota_messages.UNKNOWN:
-                waiter.finish(Verdict(quota_exchanges.Outcome.UNKNOWN))
+                waiter.finish(LessorVerdict(quota_exchanges.Outcome.UNKNOWN))
             elif left:
                 token_term = term if left > grant.overdrawn else no_term
                 left -= 1
-                waiter.finish(Verdict(quota_exchanges.Outcome.GRANTED, term=token_term))
+                waiter.finish(
+                    LessorVerdict(quota_exchanges.Outcome.GRANTED, term=token_term)
+                )
             else:
                 retry_after_s = grant.retry_after_s + denied / waiter.requests_per_s
                 denied += 1
-                waiter.finish(Verdict(quota_exchanges.Outcome.DENIED, retry_after_s))
+                waiter.finish(
+                    LessorVerdict(quota_exchanges.Outcome.DENIED, retry_after_s)
+                )
         return max(left - grant.overdrawn, 0)
 
     def _record_answer(self, link: _Link) -> None:
--- a/corianderrill/gateway/quota_exchanges.py
+++ b/corianderrill/gateway/quota_exchanges.py
@@ -153,6 +153,10 @@
     def _evaluate(
         self, result: connections.RawReply | connections.FailedExchange
     ) -> Outcome:
+        """Return how the message ended; GRANTED if its answer is valid.
+
+        Such an answer may deny requests: it has a grant for each workspace.
+        """
         match result:
             case connections.FailedExchange():
                 return Outcome.FAILED
--- a/corianderrill/gateway/quota_ledger.py
+++ b/corianderrill/gateway/quota_ledger.py
@@ -1,11 +1,11 @@
-"""The books of a quota lessor: tokens and quota leases of the workspaces of one slot.
+"""What a quota lessor has granted: tokens and leases of the workspaces of one slot.
 
 A ledger begins with few tokens, since it does not know what the former lessor admitted.
 It grants no quota leases until those of the former lessor have ended. A quota lease
 allows a host a number of requests in each window until it ends. The sum of the leases
 that are valid, or ended less than a window ago, is limited, so all hosts together admit
-no more than that in a window without asking. What is left of this sum, the lessor
-itself admits when the bucket is empty.
+no more than that in a window without asking. When the bucket is empty, the lessor
+admits requests from what is left of this sum, up to `OVERDRAFT_SHARE` of it.
 
 Only durations travel between hosts, and a host counts its lease from the sending of its
 message. So the record here outlives the lease there.
@@ -19,7 +19,7 @@
 from corianderrill import names
 from corianderrill.gateway import quota_terms
 
-# Names one ledger, so that tokens go back only to the one that granted them.
+# The id of one ledger, so that tokens go back only to the one that granted them.
 Term = NewType("Term", str)
 
 DEMAND_HALF_LIFE_S = 10.0
@@ -29,12 +29,13 @@
 # gets one only if this share of the units stays free.
 MIN_LEASED_DEMAND = 0.5
 SPARE_SHARE = 0.75
-# The lessor itself uses at most this share of what the leases may allow.
+# With an empty bucket, the lessor admits at most this share of what the leases may
+# allow. The rest stays free for the leases of other hosts.
 OVERDRAFT_SHARE = 0.75
 # Below this many requests of a host in a half-life, its record is dropped.
 MIN_DEMAND = 0.01
 PRUNE_INTERVAL_S = 20.0
-# Longer than a lease and a window.
+# An account is idle after this time. It is longer than a lease and a window.
 IDLE_S = 60.0
 # The latest time for which requests over the quota are asked to come back.
 MAX_RETRY_DELAY_S = 5.0
@@ -187,7 +188,7 @@
         self.tokens = min(terms.capacity, self.tokens + returned)
 
     def _overdraw(self, terms: quota_terms.QuotaTerms, wanted: int, now: float) -> int:
-        """Admit requests that neither the bucket nor the leases pay for."""
+        """Admit requests, with an empty bucket, from what no lease uses."""
         limit = math.floor(OVERDRAFT_SHARE * terms.leased) - len(self._overdrawn_at)
         if wanted <= 0 or limit <= 0:
             return 0
--- a/corianderrill/gateway/quota_upkeep.py
+++ b/corianderrill/gateway/quota_upkeep.py
@@ -1,4 +1,4 @@
-"""What a host does for quotas apart from requests: renewals, returns, gauges."""
+"""Periodic work for quotas: renews leases, returns tokens, sets gauges."""
 
 import dataclasses
 import math
@@ -46,27 +46,27 @@
         self.quotas.client.retain(self.quotas.directory.list_keys())
 
 
-def update_gauges(gate: quotas.Quotas | quotas.Unlimited, now: float) -> None:
+def update_gauges(host_quotas: quotas.Quotas | quotas.Unlimited, now: float) -> None:
     """Set the gauges of the leases of a host, and of its ledgers."""
-    if not gate.is_needed():
+    if not host_quotas.is_needed():
         return
-    _update_units(gate, now)
+    _update_units(host_quotas, now)
     tokens = {}
     leased = 0
-    for workspace, account in gate.lessor.list_accounts(now):
-        terms = gate.find_terms_if_known(workspace)
+    for workspace, account in host_quotas.lessor.list_accounts(now):
+        terms = host_quotas.find_terms_if_known(workspace)
         if terms is not None:
             account.refill(terms, now)
             tokens[(workspace,)] = round(account.tokens, 2)
             leased += account.count_leased(terms, now)
-    gate.meter.replace(metrics.GATEWAY_QUOTA_TOKENS_LEFT, tokens)
-    gate.meter.set(metrics.GATEWAY_QUOTA_LEASED, leased)
+    host_quotas.meter.replace(metrics.GATEWAY_QUOTA_TOKENS_LEFT, tokens)
+    host_quotas.meter.set(metrics.GATEWAY_QUOTA_LEASED, leased)
 
 
-def _update_units(gate: quotas.Quotas, now: float) -> None:
+def _update_units(host_quotas: quotas.Quotas, now: float) -> None:
     units = {}
-    for workspace, allowance in gate.allowances.items():
-        terms = gate.find_terms_if_known(workspace)
+    for workspace, allowance in host_quotas.allowances.items():
+        terms = host_quotas.find_terms_if_known(workspace)
         if terms is not None:
             units[(workspace,)] = allowance.count_units(terms, now)
-    gate.meter.replace(metrics.GATEWAY_QUOTA_UNITS, units)
+    host_quotas.meter.replace(metrics.GATEWAY_QUOTA_UNITS, units)
--- a/corianderrill/gateway/quotas.py
+++ b/corianderrill/gateway/quotas.py
@@ -214,7 +214,7 @@
             return
         ledger = self.lessor.find_ledger(key, now)
         if ledger is not None:
-            self._decide_alone(request, ledger, now)
+            self._decide_as_lessor(request, ledger, now)
             return
         holder = self.directory.find_holder(key)
         if holder is None or holder.host == self.lessee.host:
@@ -258,7 +258,7 @@
         total = terms.requests_per_s * terms.window_s + terms.burst + terms.excess
         return math.floor(EQUAL_SHARE_FACTOR * total / self.host_count)
 
-    def _decide_alone(
+    def _decide_as_lessor(
         self, request: _Request, ledger: quota_ledger.QuotaLedger, now: float
     ) -> None:
         """Decide as the quota lessor of the workspace."""
@@ -304,11 +304,13 @@
             request.workspace,
             request.terms.requests_per_s,
             now + answer_time_s,
-            lambda verdict: self._finish(request, verdict),
+            lambda verdict: self._apply_verdict(request, verdict),
         )
         self.client.ask(holder, waiter)
 
-    def _finish(self, request: _Request, verdict: quota_client.Verdict) -> None:
+    def _apply_verdict(
+        self, request: _Request, verdict: quota_client.LessorVerdict
+    ) -> None:
         """Decide on a request by the answer of the lessor, or without one."""
         now = self.loop.now()
         match verdict.outcome:
@@ -389,7 +391,7 @@
             return None
         return self.lessor.answer(message, self.loop.now())
 
-    # The books of this host, for the client.
+    # The leases of this host, for the client.
 
     def take_used(self, workspace: names.WorkspaceName) -> int:
         """Return how many requests ran under a lease since the last call."""
--- a/corianderrill/gateway/request_records.py
+++ b/corianderrill/gateway/request_records.py
@@ -17,8 +17,8 @@
     workspace_events,
 )
 
-# Of one request.
-MAX_HELD_BACK_RECORDS = 4
+# Per request.
+MAX_HELD_IN_QUEUE_RECORDS = 4
 # In the log line of an attempt that waited.
 MAX_LISTED_WORKSPACES = 5
 
@@ -85,7 +85,7 @@
     )
 
 
-def record_held_back(
+def record_held_in_queue(
     shared: shared_state.SharedState,
     request_coordinator: coordinator.RequestCoordinator,
 ) -> None:
@@ -94,13 +94,13 @@
     if rank.workspace is None or not _has_lost_parts(request_coordinator):
         return
     now = shared.loop.now()
-    held_back = (
+    held_in_queue = (
         attempt
         for attempt in _list_attempts(request_coordinator)
         if attempt.outcome == attempts.WITHDRAWN and attempt.connection is None
     )
-    for attempt in itertools.islice(held_back, MAX_HELD_BACK_RECORDS):
-        shared.log.record(_describe_held_back(attempt, rank, now))
+    for attempt in itertools.islice(held_in_queue, MAX_HELD_IN_QUEUE_RECORDS):
+        shared.log.record(_describe_held_in_queue(attempt, rank, now))
 
 
 def _has_lost_parts(request_coordinator: coordinator.RequestCoordinator) -> bool:
@@ -108,7 +108,7 @@
     return parts < len(request_coordinator.sub_requests)
 
 
-def _describe_held_back(
+def _describe_held_in_queue(
     attempt: attempts.Attempt, rank: send_order.Rank, now: float
 ) -> workspace_events.HeldInQueue:
     pool = attempt.pool
--- a/corianderrill/gateway/responses.py
+++ b/corianderrill/gateway/responses.py
@@ -17,8 +17,8 @@
 # `Retry-After` has random jitter, so that callers refused at the same time don't all
 # retry at the same time.
 RETRY_AFTER_JITTER_S = 0.15
-# As a share of the delay, for longer ones.
-RETRY_AFTER_JITTER = 0.25
+# The jitter of longer delays, as a ratio of the delay.
+RETRY_AFTER_JITTER_RATIO = 0.25
 
 REASON_PHRASES = {
     200: "OK",
@@ -100,6 +100,6 @@
 
 def build_retry_after(min_delay_s: float, rng: random.Random) -> tuple[str, str]:
     """Return the header with the time after which the caller may retry."""
-    spread_s = max(RETRY_AFTER_JITTER_S, RETRY_AFTER_JITTER * min_delay_s)
+    spread_s = max(RETRY_AFTER_JITTER_S, RETRY_AFTER_JITTER_RATIO * min_delay_s)
     delay_s = min_delay_s + spread_s * rng.random()
     return (requests.RETRY_AFTER_HEADER, f"{delay_s:.3f}")
--- a/corianderrill/gateway/routes.py
+++ b/corianderrill/gateway/routes.py
@@ -245,6 +245,7 @@
     routes_by_host: dict[str, dict[str, Route]] = {}
     for route in routes:
         routes_by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+    # Of two workspaces with one name, the first is kept, as with keys.
     workspaces_by_name = {
         workspace.name: workspace
         for workspace in reversed((workspaces_by_key or {}).values())
--- a/corianderrill/gateway/workspace_ranks.py
+++ b/corianderrill/gateway/workspace_ranks.py
@@ -10,7 +10,7 @@
 def compute_rank(
     selected: routes.SelectedRoute, workspace_name: names.WorkspaceName
 ) -> send_order.Rank:
-    """Return the rank of a request of a workspace, of none if the name is empty.
+    """Return the rank of a request of a workspace; the name is empty if it has none.
 
     The priority of a workspace goes before that of the route. Its weight is its limit
     in requests per second; without one, the mean of the others.
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -1,5 +1,6 @@
 """The WSGI application that serves callers: it forwards each request."""
 
+import dataclasses
 from collections.abc import Iterable
 
 import eventlet
@@ -22,6 +23,7 @@
     request_records,
     responses,
     routes,
+    send_order,
     shared_state,
     targets,
 )
@@ -41,6 +43,14 @@
 NEW_CONNECTION_MARGIN_S = 0.007
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _IdentifiedRequest:
+    """The route of a request, and the rank that names its workspace."""
+
+    selected: routes.SelectedRoute
+    rank: send_order.Rank
+
+
 class GatewayApp:
     """Validates the requests of callers, forwards them and records their outcome."""
 
@@ -118,30 +128,13 @@
                 "no-configuration",
                 refusals.NOT_CURRENT_RETRY_AFTER_S,
             )
-        path = environ["RAW_PATH_INFO"]
-        host = requests.find_header(headers, "Host") or ""
-        selected = configuration.select_route(host, path)
-        if selected is None:
-            return self._refusals.refuse_unknown_route(request_id)
-        route = selected.route
-        caller = authentication.authenticate(selected, headers)
-        if isinstance(caller, authentication.Denied):
-            return self._refusals.refuse_key(request_id, route.name, caller.fault)
-        if not request_id:
-            return self._refusals.refuse(request_id, route.name, 400, "no-request-id")
-        if self.in_flight.served > MAX_IN_FLIGHT_REQUESTS:
-            return self._refusals.refuse(
-                request_id,
-                route.name,
-                503,
-                "too-many-in-flight",
-                responses.MIN_RETRY_AFTER_S,
-            )
-        header_bytes = sum(len(name) + len(value) + 4 for name, value in headers)
-        if header_bytes > configuration.limits.max_header_bytes:
-            return self._refusals.refuse(
-                request_id, route.name, 431, "headers-too-large"
-            )
+        identified = self._identify(configuration, environ, request_id)
+        if isinstance(identified, responses.Response):
+            return identified
+        route = identified.selected.route
+        refusal = self._check_head(request_id, route, headers, configuration.limits)
+        if refusal is not None:
+            return refusal
         try:
             body = environ["wsgi.input"].read_body(configuration.limits.max_body_bytes)
         except OSError as error:
@@ -150,13 +143,12 @@
         except caller_input.InputError as error:
             return self._refusals.refuse_input(request_id, route.name, error)
         # The body may have taken seconds, and another version be in force.
-        selected = self._shared.view.configuration.select_route(host, path)
-        if selected is None:
-            return self._refusals.refuse_unknown_route(request_id)
-        route = selected.route
-        caller = authentication.authenticate(selected, headers)
-        if isinstance(caller, authentication.Denied):
-            return self._refusals.refuse_key(request_id, route.name, caller.fault)
+        identified = self._identify(
+            self._shared.view.configuration, environ, request_id
+        )
+        if isinstance(identified, responses.Response):
+            return identified
+        route = identified.selected.route
         time_limit_s = self._compute_time_limit_s(headers, route, received_at)
         if time_limit_s is None:
             return self._refusals.refuse(
@@ -173,15 +165,68 @@
             body,
             time_limit_s,
             received_at,
-            caller.rank,
+            identified.rank,
         )
+        return self._admit(environ, inbound, identified.selected)
+
+    def _identify(
+        self,
+        configuration: routes.Configuration,
+        environ: dict[str, object],
+        request_id: str,
+    ) -> _IdentifiedRequest | responses.Response:
+        """Find the route and the workspace of a request; refuse it without them."""
+        headers = environ["headers_raw"]
+        host = requests.find_header(headers, "Host") or ""
+        selected = configuration.select_route(host, environ["RAW_PATH_INFO"])
+        if selected is None:
+            return self._refusals.refuse_unknown_route(request_id)
+        caller = authentication.authenticate(selected, headers)
+        if isinstance(caller, authentication.Denied):
+            return self._refusals.refuse_key(
+                request_id, selected.route.name, caller.fault
+            )
+        return _IdentifiedRequest(selected, caller.rank)
+
+    def _check_head(
+        self,
+        request_id: str,
+        route: routes.Route,
+        headers: list[tuple[str, str]],
+        limits: routes.CallerLimits,
+    ) -> responses.Response | None:
+        """Refuse a request that is not served, whatever its body."""
+        if not request_id:
+            return self._refusals.refuse(request_id, route.name, 400, "no-request-id")
+        if self.in_flight.served > MAX_IN_FLIGHT_REQUESTS:
+            return self._refusals.refuse(
+                request_id,
+                route.name,
+                503,
+                "too-many-in-flight",
+                responses.MIN_RETRY_AFTER_S,
+            )
+        header_bytes = sum(len(name) + len(value) + 4 for name, value in headers)
+        if header_bytes > limits.max_header_bytes:
+            return self._refusals.refuse(
+                request_id, route.name, 431, "headers-too-large"
+            )
+        return None
+
+    def _admit(
+        self,
+        environ: dict[str, object],
+        inbound: requests.InboundRequest,
+        selected: routes.SelectedRoute,
+    ) -> responses.Response | None:
+        """Forward a request if the quota of its workspace allows it."""
         admission = self._shared.quotas.admit(
-            inbound.workspace, route, inbound.id, self._shared.loop.now()
+            inbound.workspace, selected.route, inbound.id, self._shared.loop.now()
         )
         if isinstance(admission, quota_verdicts.Refusal):
             return self._refusals.refuse(
-                request_id,
-                route.name,
+                inbound.id,
+                selected.route.name,
                 admission.status,
                 admission.decision.value,
                 admission.retry_after_s,
@@ -242,11 +287,6 @@
         if isinstance(route.target, routes.ScatterGather):
             self._shared.query_rate.record(inbound.received_at)
         is_trial = self._try_claim_trial(inbound)
-        connection = environ["corianderrill.connection"]
-        margin_s = answer_times.ANSWER_DELIVERY_MARGIN_S
-        if connection.requests_served == 0:
-            margin_s += NEW_CONNECTION_MARGIN_S
-        connection.requests_served += 1
         outcome_event = event.Event()
         request_coordinator = coordinator.RequestCoordinator(
             self._shared,
@@ -254,7 +294,7 @@
             selected,
             services,
             outcome_event.send,
-            margin_s,
+            _take_answer_margin(environ["corianderrill.connection"]),
             delegation.Mode.NOTHING
             if is_trial
             else delegation.select_mode(self._shared, route, inbound.received_at),
@@ -275,13 +315,21 @@
             self._crash_notes.quarantine.return_trial(inbound.fingerprint)
         if request_records.was_certainly_not_sent(request_coordinator, outcome):
             self._shared.quotas.give_back(admission)
+        return self._finish(request_coordinator, outcome)
+
+    def _finish(
+        self,
+        request_coordinator: coordinator.RequestCoordinator,
+        outcome: request_outcomes.Outcome,
+    ) -> responses.Response | None:
+        """Build the response to a request that has an outcome, and record both."""
         response = responses.build_response(
             request_coordinator, outcome, self._shared.rng
         )
         request_records.record_request(
             self._shared, request_coordinator, outcome, response
         )
-        request_records.record_held_back(self._shared, request_coordinator)
+        request_records.record_held_in_queue(self._shared, request_coordinator)
         request_coordinator.release()
         return response
 
@@ -291,3 +339,12 @@
         if verdict is not quarantine.Verdict.QUARANTINED:
             return False
         return self._crash_notes.claim_trial(inbound.fingerprint)
+
+
+def _take_answer_margin(connection: caller_connections.CallerProtocol) -> float:
+    """Return the margin of the next response on a connection, and count it."""
+    margin_s = answer_times.ANSWER_DELIVERY_MARGIN_S
+    if connection.requests_served == 0:
+        margin_s += NEW_CONNECTION_MARGIN_S
+    connection.requests_served += 1
+    return margin_s
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -45,7 +45,7 @@
 _LEAVING_REPLY_HEADER = b"server-leaving"
 # Requests that run and wait, slots, and the percentage of the usual work time.
 _LOAD_REPLY_HEADER = b"x-server-load"
-# A replica that is slower or faster than this is treated alike.
+# Reported values beyond these are clamped, so that a wrong report has a bounded effect.
 MIN_WORK_TIME_RATIO = 0.25
 MAX_WORK_TIME_RATIO = 16.0
 MAX_REPORTED_REQUESTS = 10_000
@@ -100,7 +100,7 @@
     # What the caller proves its identity with, where the configuration has no
     # workspaces; empty if it does not.
     credentials: str = ""
-    # Among the requests that wait for the same replica.
+    # Its place among the requests that wait for the same replica.
     rank: send_order.Rank = send_order.NO_WORKSPACES
 
     @property
--- a/tests/test_gateway_quota_ledger.py
+++ b/tests/test_gateway_quota_ledger.py
@@ -1,4 +1,4 @@
-"""The books of a quota lessor: tokens, leases, and what goes back."""
+"""What a quota lessor grants: tokens, leases, and what goes back."""
 
 import hypothesis
 import pytest
