--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(RUN) ruff check --fix $(SOURCES)
 
 test: check
-	$(VENV)/bin/python extras/test_groups.py
+	$(VENV)/bin/python extras/run_tests.py
 
 measure: install
 	$(RUN) benchmarks.measure $(SCENARIO) $(if $(SEEDS),--seeds $(SEEDS)) $(if $(SECONDS),--seconds $(SECONDS))
--- a/extras/test_groups.py
+++ b/extras/run_tests.py
@@ -4,7 +4,7 @@
 cannot be used: its workers read from pipes in threads, which eventlet's patched modules
 do not allow.
 
-Usage: python extras/test_groups.py [PYTEST_OPTION...]
+Usage: python extras/run_tests.py [PYTEST_OPTION...]
 """
 
 import concurrent.futures
