Keep slots over a silent store, and lend quota leases from the first term on

A holder now waits for a silent store and renews its lease if that was kept: no other host can have held the slot in between, so the term and its ledger go on. If the lease has ended, it takes the slot again at once. A mark in the store, written together with the first slot key, tells that a slot has had a lessor; the first one grants leases at once. Without quotas nothing changes.

--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -116,12 +116,21 @@
 
     def _handle_failure(self, error: store.StoreError) -> None:
         """Keep the slot while its lease is certain to last, else drop it and wait."""
-        if self.held is not None and self.clock() < self._lease_until:
+        is_certain = self.clock() < self._lease_until
+        if self.held is not None and (is_certain or self._may_last(error)):
             self._record(RoleChange.RENEWAL_FAILED, self.held, str(error))
             return
         self._drop_slot(str(error))
         self.sleep(RETRY_DELAY_S * (0.5 + self.rng.random()))
 
+    def _may_last(self, error: store.StoreError) -> bool:
+        """Return whether to wait for the store, which may have kept the lease.
+
+        Meanwhile the host is no quota lessor. If the lease is renewed after all, the
+        slot had no other holder; otherwise others would wait for its end.
+        """
+        return self.has_quotas() and error.kind is not store.FailureKind.RESTORED
+
     def _step(self) -> None:
         if self.held is not None:
             self.sleep(RENEWAL_INTERVAL_S)
@@ -179,9 +188,26 @@
             self._reclaim_slot(str(error))
             return
         if not is_alive:
-            self._drop_slot("the lease has ended")
+            self._replace_lease()
         elif self.held is not None:
             self._extend(sent_at)
+            self._mark_slot()
+
+    def _replace_lease(self) -> None:
+        """Drop the slot; with quotas, take it again at once if it is vacant."""
+        held = self.held
+        self._drop_slot("the lease has ended")
+        if held is not None and self._may_hold_slots() and self.has_quotas():
+            self._take_slot(held)
+
+    def _mark_slot(self) -> None:
+        """Tell later holders of the slot that it has had a quota lessor."""
+        if not self.has_quotas() or self._term.is_marked:
+            return
+        mark = documents.format_lessor_mark_key(self.held.key)
+        self.client.replace_key(mark, b"", view.StoreRevision(0))
+        if self._term is not None:
+            self._term = dataclasses.replace(self._term, is_marked=True)
 
     def _reclaim_slot(self, reason: str) -> None:
         """Keep the slot if the restored store still has it, else take it anew.
@@ -277,13 +303,20 @@
         sent_at = self.clock()
         lease = self.client.grant_lease(LEASE_TTL_S)
         candidate = dataclasses.replace(candidate, era=lease.era)
-        revision = self.client.create_key(
-            documents.format_aggregator_key(candidate.key),
-            documents.encode_aggregator(candidate),
-            lease,
-        )
+        is_sole = lease.era <= FIRST_ERA
+        key = documents.format_aggregator_key(candidate.key)
+        value = documents.encode_aggregator(candidate)
+        if is_sole and self.has_quotas():
+            mark = documents.format_lessor_mark_key(candidate.key)
+            revision = self.client.create_key_and_mark(key, value, lease, mark)
+            if revision is not None:
+                self._hold(candidate, lease, revision, sent_at, is_sole)
+                self._term = dataclasses.replace(
+                    self._term, is_first=True, is_marked=True
+                )
+                return
+        revision = self.client.create_key(key, value, lease)
         if revision is not None:
-            is_sole = lease.era <= FIRST_ERA
             self._hold(candidate, lease, revision, sent_at, is_sole)
 
     def _hold(
@@ -305,6 +338,7 @@
             held.key,
             quota_ledger.Term(f"{self.rng.getrandbits(64):x}"),
             now if is_sole else lapsed_at,
+            is_marked=False,
         )
         self._taken_at = now
         self._is_return_wanted = False
@@ -317,6 +351,10 @@
             return None
         return self._term
 
+    def may_resume_term(self, term: quota_ledger.Term, _now: float) -> bool:
+        """Return whether the slot is held, or may turn out to be, since that term."""
+        return self._term is not None and self._term.id == term
+
     def offer_slot(self, zone: names.ZoneName) -> None:
         """Give up the slot soon if it is one of a zone whose own hosts want it."""
         if self.scope is not Scope.ORPHANED or self.held is None:
--- a/corianderrill/gateway/quota_ledger.py
+++ b/corianderrill/gateway/quota_ledger.py
@@ -290,11 +290,15 @@
 class QuotaLedger:
     """The accounts of the workspaces of one slot, from when it was taken.
 
-    `started_at` is no earlier than the end of the former lessor's slot lease.
+    `started_at` is no earlier than the end of the former lessor's slot lease. Without a
+    `has_former` lessor there are no quota leases that it does not know of. It grants
+    none until the slot `is_marked` as having had a lessor.
     """
 
     term: Term
     started_at: float
+    has_former: bool = True
+    is_marked: bool = True
     _accounts: dict[names.WorkspaceName, Account] = dataclasses.field(
         default_factory=dict
     )
@@ -312,8 +316,11 @@
         account = self._accounts.get(workspace)
         if account is None:
             account = self._accounts[workspace] = Account(self.started_at)
-        lease_from = self.started_at + quota_terms.LEASE_S + terms.window_s
-        return account.answer(terms, lessee, sequence, ask, now, now >= lease_from)
+        lease_from = self.started_at
+        if self.has_former:
+            lease_from += quota_terms.LEASE_S + terms.window_s
+        may_lease = self.is_marked and now >= lease_from
+        return account.answer(terms, lessee, sequence, ask, now, may_lease)
 
     def give_back(self, workspace: names.WorkspaceName, lessee: Lessee) -> None:
         """Put a token back that a process did not use."""
--- a/corianderrill/gateway/quota_lessor.py
+++ b/corianderrill/gateway/quota_lessor.py
@@ -20,12 +20,16 @@
 class SlotTerm:
     """The time for which a host holds a slot without a break.
 
-    No other host holds the slot at `started_at` or later.
+    No other host holds the slot at `started_at` or later. `is_first` tells that the
+    slot has had no quota lessor before. Quota leases are granted once the term
+    `is_marked`: the store tells later holders that the slot has had a lessor.
     """
 
     key: aggregators.SlotKey
     id: quota_ledger.Term
     started_at: float
+    is_first: bool = False
+    is_marked: bool = True
 
 
 class SlotRole(Protocol):
@@ -34,6 +38,9 @@
     def find_term(self, now: float) -> SlotTerm | None:
         """Return the term that is certain to last at a time; None without one."""
 
+    def may_resume_term(self, term: quota_ledger.Term, now: float) -> bool:
+        """Return whether a term may become certain again, with no other in between."""
+
     def offer_slot(self, zone: names.ZoneName) -> None:
         """Give up the slot if it is of a zone whose own hosts want it."""
 
@@ -55,6 +62,8 @@
     _ledgers: dict[aggregators.SlotKey, quota_ledger.QuotaLedger] = dataclasses.field(
         default_factory=dict
     )
+    # Those that have had a ledger, which may have granted quota leases.
+    _begun_terms: set[quota_ledger.Term] = dataclasses.field(default_factory=set)
 
     def find_ledger(
         self, key: aggregators.SlotKey, now: float
@@ -75,9 +84,12 @@
         ledger = self._ledgers.get(term.key)
         if ledger is None or ledger.term != term.id:
             self._end_ledger(term.key)
-            ledger = quota_ledger.QuotaLedger(term.id, now)
+            has_former = not term.is_first or term.id in self._begun_terms
+            self._begun_terms.add(term.id)
+            ledger = quota_ledger.QuotaLedger(term.id, now, has_former)
             self._ledgers[term.key] = ledger
             self.log.record(quota_records.QuotaTermBegun(str(term.key), term.id))
+        ledger.is_marked = term.is_marked
         return ledger
 
     def _end_ledger(self, key: aggregators.SlotKey) -> None:
@@ -96,10 +108,7 @@
             if term is not None:
                 self.find_ledger(term.key, now)
         for key, ledger in list(self._ledgers.items()):
-            if not any(
-                term is not None and term.id == ledger.term
-                for term in (role.find_term(now) for role in self.roles)
-            ):
+            if not any(role.may_resume_term(ledger.term, now) for role in self.roles):
                 self._end_ledger(key)
 
     def answer(
--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -20,6 +20,8 @@
 AGGREGATOR_KEY_PREFIX = "aggregators/"
 DEMAND_KEY_PREFIX = "demand/"
 CRASH_KEY_PREFIX = "crashes/"
+# Without a lease: a slot below it has had a quota lessor.
+LESSOR_MARK_KEY_PREFIX = "quota-lessors/"
 # A key of this prefix names a zone, and may have any value.
 EVACUATION_KEY_PREFIX = "op/evacuate/"
 # A server that claims to execute more requests at once is not believed.
@@ -299,6 +301,11 @@
     return f"{format_aggregator_prefix(key.zone)}{key.slot}"
 
 
+def format_lessor_mark_key(key: aggregators.SlotKey) -> str:
+    """Return the store's key that tells that a slot has had a quota lessor."""
+    return f"{LESSOR_MARK_KEY_PREFIX}{key.zone}/{key.slot}"
+
+
 def parse_aggregator_key(key: str) -> aggregators.SlotKey:
     """Return the slot that a key names. Raise DocumentError if it names none."""
     zone, _, slot = key.removeprefix(AGGREGATOR_KEY_PREFIX).rpartition("/")
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -295,6 +295,20 @@
         document["expected_rev"] = [{"key": key, "revision": 0}]
         return self._write(document, lease, (404, 412))
 
+    def create_key_and_mark(
+        self, key: Key, value: bytes, lease: Lease, mark: Key
+    ) -> view.StoreRevision | None:
+        """Write a key under a lease and an empty one without, unless one exists.
+
+        Return the revision, if so. After a StoreError both may have been written.
+        """
+        document = _build_write(key, value, lease.id)
+        document["writes"] += _build_write(mark, b"", LeaseId(0))["writes"]
+        document["expected_rev"] = [
+            {"key": each, "revision": 0} for each in (key, mark)
+        ]
+        return self._write(document, lease, (404, 412))
+
     def take_over_key(
         self, key: Key, value: bytes, former: view.StoreRevision, lease: Lease
     ) -> view.StoreRevision | None:
--- a/tests/test_gateway_quota_ledger.py
+++ b/tests/test_gateway_quota_ledger.py
@@ -146,3 +146,19 @@
     slots = [first.find_slot(workspace) for workspace in workspaces]
     assert slots == [second.find_slot(workspace) for workspace in workspaces]
     assert len(set(slots)) == 6
+
+
+# Guards against hosts without leases in the first 15 s of a site.
+def test_first_lessor_of_a_slot_grants_leases_at_once():
+    ledger = quota_ledger.QuotaLedger(quota_ledger.Term("t-1"), 0.0, has_former=False)
+    assert ask(ledger, 1, 0.0).units > 0
+
+
+# Guards against leases of which a later lessor could not know.
+def test_no_lease_is_granted_before_the_slot_is_marked():
+    ledger = quota_ledger.QuotaLedger(
+        quota_ledger.Term("t-1"), 0.0, has_former=False, is_marked=False
+    )
+    assert ask(ledger, 1, LEASE_FROM_S).units == 0
+    ledger.is_marked = True
+    assert ask(ledger, 1, LEASE_FROM_S).units > 0
--- a/tests/utils/fake_stores.py
+++ b/tests/utils/fake_stores.py
@@ -46,6 +46,20 @@
         self.keys[key] = (value, lease)
         return 10
 
+    def create_key_and_mark(self, key, value, lease, mark):
+        self._check()
+        if key in self.keys or mark in self.keys:
+            return None
+        self.keys[mark] = (b"", None)
+        return self.create_key(key, value, lease)
+
+    def replace_key(self, key, value, former):
+        self._check()
+        if key in self.keys:
+            return None
+        self.keys[key] = (value, None)
+        return 10
+
     def take_over_key(self, key, value, former, lease):
         self._check()
         if key not in self.keys or former != 10:
--- a/tests/utils/quota_builders.py
+++ b/tests/utils/quota_builders.py
@@ -37,6 +37,9 @@
     def find_term(self, now):
         return self.term if now < self.until else None
 
+    def may_resume_term(self, term, now):
+        return now < self.until and self.term.id == term
+
     def offer_slot(self, zone):
         pass
 
