Keep a slot with quotas while its host restarts

A stopping host gave its slot up at once. The host now answers until its process ends, and the next process on it takes the slot over. Without quotas slots are given up as before.

--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -374,7 +374,14 @@
             self.retry_budget.lose_slot()
 
     def retire(self) -> None:
-        """Give up the slot for good, since the host shuts down."""
+        """Give up the slot for good, since the host shuts down.
+
+        With quotas the host answers as the lessor until its process ends, and the slot
+        waits for the next process: in a restart, other hosts would take seconds to
+        learn of a new holder.
+        """
+        if self.held is not None and self.has_quotas():
+            return
         self._is_retired = True
         self._give_up("shutdown")
 
--- a/tests/test_gateway_aggregator_role.py
+++ b/tests/test_gateway_aggregator_role.py
@@ -341,3 +341,12 @@
     times = [100.0]
     role.clock = lambda: times[0]
     return role, times
+
+
+# Guards against seconds without a lessor in each step of a rolling restart.
+def test_host_that_stops_stays_the_lessor_until_its_process_ends():
+    role, times = build_timed_quota_role()
+    role._step()
+    role.retire()
+    assert role.find_term(times[0]) is not None
+    assert documents.format_aggregator_key(role.held.key) in role.client.keys
