--- a/tests/test_gateway_aggregator_role.py
+++ b/tests/test_gateway_aggregator_role.py
@@ -157,6 +157,7 @@
     until = 100.0 + aggregator_role.LEASE_TTL_S
     assert role.find_term(until - 0.1) is not None
     assert role.find_term(until) is None
+    role.has_quotas = lambda: False
     role.retire()
     assert role.find_term(100.0) is None
 
