--- a/tests/test_gateway_hostile_clients.py
+++ b/tests/test_gateway_hostile_clients.py
@@ -8,6 +8,8 @@
 
 from tests.utils import crowds
 
+pytestmark = pytest.mark.runs_alone
+
 # Of a body, in the tests whose crowd could fill the memory with bodies.
 LARGE_BODY_BYTES = 4 * 1_048_576
 LARGE_ANSWER_BYTES = 3 * 1_048_576
