--- a/review/6/case.py
+++ b/review/6/case.py
@@ -80,6 +80,8 @@
             except OSError:
                 await asyncio.sleep(0.1)
                 continue
+            # Clients that return at the same moment don't all send at once.
+            due_at = max(due_at, time.monotonic() + PERIOD_S * rng.random())
             is_kept = True
             while is_kept and time.monotonic() < self._until:
                 if await self._is_closed(reader, due_at):
