Serve the requests that arrived before idle connections close

Cause: the gateway left the close to the library's server, which judges a connection by what was read. It shut down connections whose requests lay unread in the kernel; these were then read and forwarded.

Now the listener stops without the end of the library's loop, and a connection is closed only while it waits for a request of which no byte has arrived. Check and close are one step of the event loop, after which nothing is read from it. The process waits for open connections, and an answer does not end one behind which more requests were sent.

A reload that changes an address to listen on had no effect and no log line; the line of the reload names it now.

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -1,6 +1,5 @@
 """The WSGI application that answers the queries that other hosts delegate."""
 
-import socket
 from collections.abc import Iterable, Iterator
 
 import eventlet
@@ -26,6 +25,7 @@
     shared_state,
     store_relay,
     top_records,
+    unread_input,
 )
 from corianderrill.platform import requests, store
 
@@ -261,12 +261,7 @@
 
 def _is_connected(sock: object) -> bool:
     """Return whether the other end has not closed its connection."""
-    try:
-        return sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
+    return unread_input.peek(sock) is not unread_input.Arrival.END
 
 
 def _build_response(
--- a/corianderrill/gateway/caller_connections.py
+++ b/corianderrill/gateway/caller_connections.py
@@ -20,6 +20,7 @@
     event_log,
     loop,
     routes,
+    unread_input,
 )
 
 # The watch for a disconnect starts this long after the request. Most requests end
@@ -41,15 +42,19 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Server:
-    """What the connections to one address share."""
+    """What the connections to one address share.
+
+    Once it `is_stopping`, a connection is closed when no request has arrived on it.
+    """
 
     slots: caller_resources.ConnectionSlots
     memory: caller_resources.BufferMemory
     get_limits: Callable[[], routes.CallerLimits]
     log: event_log.EventLog
     meter: metrics.Recorder
+    is_stopping: bool = False
 
     def refuse(self, error: caller_input.InputError) -> None:
         """Record that a connection is closed before a request was read."""
@@ -57,8 +62,18 @@
         self.meter.count(metrics.GATEWAY_INPUT_REFUSALS, error.reason)
         self.log.record(caller_log.InputRefused(error.reason, status))
 
+    def stop(self) -> None:
+        """Close the idle connections; the others are closed after their response."""
+        self.is_stopping = True
+        for holder in self.slots.list_holders():
+            holder.connection.close_if_idle()
+
+    def count_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self.slots.list_holders())
+
     def run(self, listener: object, app: object) -> None:
-        """Serve an application until the green thread is killed."""
+        """Serve an application; the listener stops the acceptance of connections."""
         wsgi.server(
             listener,
             app,
@@ -116,6 +131,8 @@
     def _read_request_line(self) -> bytes:
         """Read the next head; return its first line, or nothing to close."""
         self._release_request()
+        if self._shared.is_stopping and not self._stream.has_input():
+            return b""
         app = self.server.app
         self.server.keepalive = app.get_idle_timeout_s()
         self._head = caller_input.HeadReader(self._shared.get_limits().max_header_bytes)
@@ -124,7 +141,6 @@
                 self._head,
                 app.get_idle_timeout_s(),
                 app.get_header_timeout_s(),
-                self._on_request_line,
             )
         except caller_input.InputError as error:
             self._refuse(error)
@@ -143,11 +159,6 @@
         self.requestline = self.path = ""
         self.headers = self.environ = None
 
-    def _on_request_line(self) -> None:
-        """Tell the server not to close the connection when it shuts down."""
-        if self.conn_state[2] == wsgi.STATE_IDLE:
-            self.conn_state[2] = wsgi.STATE_REQUEST
-
     def _refuse(self, error: caller_input.InputError) -> None:
         self.close_connection = True
         self._shared.refuse(error)
@@ -196,6 +207,14 @@
         reason = type(error).__name__
         self._shared.log.record(caller_log.AnswerUnread(reason, output_bytes))
 
+    def has_next_request(self) -> bool:
+        """Return whether the caller has sent more than the request that is served."""
+        return self._input.is_read and self._stream.has_input()
+
+    def close_if_idle(self) -> None:
+        """End this connection, unless a part of a request has arrived."""
+        self._stream.close_if_idle()
+
     def evict(self, reason: caller_resources.Reason) -> None:
         """End this connection, which may be waiting for its caller."""
         self.close_connection = True
@@ -380,15 +399,12 @@
         self._listener = None
 
     def _on_readable(self, _descriptor: int) -> None:
-        try:
-            received = self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
+        arrival = unread_input.peek(self._sock)
+        if arrival is unread_input.Arrival.NOTHING:
             return
-        except OSError:
-            received = b""
-        # Data is the start of the next (pipelined) request, which is read later.
+        # Bytes are the start of the next (pipelined) request, which is read later.
         self.stop()
-        if not received:
+        if arrival is unread_input.Arrival.END:
             self._on_disconnect()
 
     def stop(self) -> None:
--- a/corianderrill/gateway/caller_resources.py
+++ b/corianderrill/gateway/caller_resources.py
@@ -50,6 +50,9 @@
     def evict(self, reason: Reason) -> None:
         """End the connection soon; called once."""
 
+    def close_if_idle(self) -> None:
+        """End the connection soon, unless a part of a request has arrived."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Holder:
@@ -186,6 +189,10 @@
         self._holders.discard(victim)
         self._memory.evict(victim, Reason.CONNECTIONS)
 
+    def list_holders(self) -> list[Holder]:
+        """Return the connections that are open and were not evicted."""
+        return list(self._holders)
+
     def close(self, holder: Holder) -> None:
         """Forget a connection that is closed."""
         self._holders.discard(holder)
--- a/corianderrill/gateway/caller_stream.py
+++ b/corianderrill/gateway/caller_stream.py
@@ -13,7 +13,12 @@
 from eventlet import hubs
 from eventlet.green import socket
 
-from corianderrill.gateway import caller_input, caller_resources, loop
+from corianderrill.gateway import (
+    caller_input,
+    caller_resources,
+    loop,
+    unread_input,
+)
 
 RECEIVE_BYTES = 32_768
 # Received without a pause, before other connections get their turn.
@@ -93,7 +98,6 @@
         reader: caller_input.HeadReader,
         idle_timeout_s: float,
         head_timeout_s: float,
-        on_request_line: Callable[[], None],
     ) -> None:
         """Read the head of a request.
 
@@ -112,8 +116,6 @@
             ):
                 self._enter(caller_resources.Stage.READING)
                 deadline_at = loop.read_clock() + head_timeout_s
-            if reader.request_line:
-                on_request_line()
             self._receive(deadline_at)
         self._request_bytes = reader.held_bytes
         self._holder.requests += 1
@@ -202,6 +204,24 @@
         if self._receiver is not None:
             self._receiver.throw(caller_input.NoMemoryError("no-memory"))
 
+    def has_input(self) -> bool:
+        """Return whether bytes have arrived after the request that was read last."""
+        is_unread = unread_input.peek(self._sock) is unread_input.Arrival.BYTES
+        return bool(self._buffer) or is_unread
+
+    def close_if_idle(self) -> None:
+        """Let a connection that waits for a request end, unless one has arrived."""
+        hubs.get_hub().schedule_call_global(0, self._end_idle_wait)
+
+    def _end_idle_wait(self) -> None:
+        # In one step of the event loop: nothing that arrives later is read.
+        is_waiting = (
+            self._receiver is not None
+            and self._holder.stage is caller_resources.Stage.IDLE
+        )
+        if is_waiting and not self.has_input():
+            self._receiver.throw(ConnectionAbortedError("the process stops"))
+
     def _pause(self) -> None:
         self._bytes_since_pause = 0
         eventlet.sleep(0)
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -178,6 +178,8 @@
             host_settings, self._shared
         )
         self._apply_bounds(host_settings.bounds)
+        # Of the addresses for callers and for other hosts.
+        self._listeners: list[listeners.Listener] = []
         self._stopped = event.Event()
         self._is_shutting_down = False
 
@@ -238,7 +240,8 @@
     def run(self) -> status.ExitStatus:
         """Serve until SIGTERM or SIGINT; return the exit status."""
         host_settings = self._host_settings
-        self._listener = listeners.listen(host_settings.listen_address, self.log)
+        listener = listeners.listen(host_settings.listen_address, self.log)
+        self._listeners.append(listener)
         readiness_listener = listeners.listen(host_settings.readiness_address, self.log)
         metrics_listener = listeners.listen(host_settings.metrics_address, self.log)
         signal.signal(signal.SIGTERM, self._on_termination_signal)
@@ -261,7 +264,11 @@
             "metrics",
             lambda: _serve_internal(metrics_listener, self._respond_to_metrics),
         )
-        self._server = start("callers", self._serve_callers, is_essential=True)
+        start(
+            "callers",
+            lambda: self._caller_server.run(listener, self._app),
+            is_essential=True,
+        )
         if host_settings.aggregation_address is not None:
             self._listen_for_delegated_queries(host_settings.aggregation_address)
         self.log.record(
@@ -280,6 +287,7 @@
 
     def _listen_for_delegated_queries(self, address: names.Address) -> None:
         listener = listeners.listen(address, self.log)
+        self._listeners.append(listener)
         self._supervisor.start(
             "aggregation",
             lambda: self._host_server.run(listener, self._aggregator_app),
@@ -287,9 +295,6 @@
         self._supervisor.start("aggregator-role", self._aggregator_role.run)
         self._supervisor.start("orphan-role", self._orphan_role.run)
 
-    def _serve_callers(self) -> None:
-        self._caller_server.run(self._listener, self._app)
-
     # Background tasks.
 
     def _drop_expired_replicas_and_connections(self) -> None:
@@ -332,8 +337,9 @@
             )
         self._apply_bounds(host_settings.bounds)
         self._shared.zone_regions = host_settings.zones
+        detail = _describe_later_changes(self._host_settings, host_settings)
         self._host_settings = host_settings
-        self.log.record(event_log.Reloaded(reason, "in-force"))
+        self.log.record(event_log.Reloaded(reason, "in-force", detail))
         self._store_probe.check()
 
     # Shutdown.
@@ -364,16 +370,14 @@
         eventlet.sleep(SHUTDOWN_ANNOUNCE_S)
         self._demand_task.kill()
         eventlet.spawn(self._demand_reporter.withdraw)
-        # Stops the accept loop. The WSGI server then closes idle connections and waits
-        # for those that still serve a request.
-        self._server.kill()
-        eventlet.sleep(0)
-        # New connections are now refused at once instead of waiting in the backlog.
-        self._listener.close()
-        self._wait_for_in_flight(self._app.must_end_at)
+        for listener in self._listeners:
+            listener.stop()
+        for server in (self._caller_server, self._host_server):
+            server.stop()
+        self._wait_for_connections(self._app.must_end_at)
         self._app.in_flight.end_forwarded()
         self._aggregator_app.in_flight.end_forwarded()
-        self._wait_for_in_flight(exit_at)
+        self._wait_for_connections(exit_at)
         # Leaves time to send the last responses.
         eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
         unanswered = self._count_in_flight()
@@ -381,11 +385,21 @@
         self.log.record(event_log.Stopped(ending, unanswered))
         self._stopped.send(None)
 
-    def _wait_for_in_flight(self, until: float) -> None:
-        """Wait until all requests have their answer, or until a time."""
-        while self._count_in_flight() and loop.read_clock() < until:
+    def _wait_for_connections(self, until: float) -> None:
+        """Wait until all requests have their answer, or until a time.
+
+        A connection that is still open carries a request, or its beginning.
+        """
+        while self._is_serving() and loop.read_clock() < until:
             eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
 
+    def _is_serving(self) -> bool:
+        open_connections = (
+            self._caller_server.count_connections()
+            + self._host_server.count_connections()
+        )
+        return bool(open_connections or self._count_in_flight())
+
     def _count_in_flight(self) -> int:
         return self._app.in_flight.unwritten + self._aggregator_app.in_flight.unwritten
 
@@ -417,6 +431,14 @@
         return http.HTTPStatus.OK, headers, body
 
 
+def _describe_later_changes(
+    former: settings.HostSettings, changed: settings.HostSettings
+) -> str:
+    """Return which changes have no effect on a process that runs; empty if none."""
+    is_same = former.list_listen_addresses() == changed.list_listen_addresses()
+    return "" if is_same else "listens on the other addresses from its next start on"
+
+
 def _serve_internal(
     listener: object,
     respond: Callable[[str], tuple[http.HTTPStatus, Headers, bytes]],
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -87,8 +87,10 @@
             raise
         finally:
             self.in_flight.end_serving()
-        if self.is_shutting_down or response is None:
-            environ["corianderrill.connection"].close_connection = True
+        connection = environ["corianderrill.connection"]
+        is_last = self.is_shutting_down and not connection.has_next_request()
+        if is_last or response is None:
+            connection.close_connection = True
         if response is None:
             response = responses.Response(502, [], b"")
         phrase = responses.REASON_PHRASES.get(response.status, "Unknown")
--- a/corianderrill/platform/settings.py
+++ b/corianderrill/platform/settings.py
@@ -95,6 +95,15 @@
     max_memory_bytes: int | None = None
     max_descriptors: int | None = None
 
+    def list_listen_addresses(self) -> tuple[names.Address | None, ...]:
+        """Return the addresses that the process listens on, None for one it has not."""
+        return (
+            self.listen_address,
+            self.readiness_address,
+            self.metrics_address,
+            self.aggregation_address,
+        )
+
 
 def find_settings_path() -> str:
     """Return the path of the settings file. Raise SettingsError if it is not set."""
--- a/tests/test_gateway_caller_stream.py
+++ b/tests/test_gateway_caller_stream.py
@@ -44,7 +44,7 @@
 
     def read_head(self):
         reader = caller_input.HeadReader(1_000)
-        self.stream.read_head(reader, IDLE_S, HEAD_S, lambda: None)
+        self.stream.read_head(reader, IDLE_S, HEAD_S)
         return reader
 
     def read_body(self, length):
--- a/tests/utils/gateway_rig.py
+++ b/tests/utils/gateway_rig.py
@@ -98,6 +98,11 @@
         self.settings_path.write_text(changed)
         self.store_address = str(address)
 
+    def change_listen_address(self, address):
+        """Write the settings again with another address for callers."""
+        text = self.settings_path.read_text()
+        self.settings_path.write_text(text.replace(self.gateway_address, address))
+
     def start(self):
         environment = {
             **os.environ,
