Pass no failure on whose status promises that nothing ran

Such a reply is no longer returned; the request ends as one that may have run, with 502 and without the replica's signature. Other failures are returned unchanged.

--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -150,11 +150,12 @@
     """The part of a request that goes to one service, and its attempts.
 
     `index` is the position of the service among those of the route. `reply` is the
-    first success, `error_reply` the last valid error reply. `is_done` is set on
-    success, or when no attempt is pending and none can follow. While `is_delegated`,
-    another host sends the attempts. `is_limited` is set if no attempt was sent because
-    of rate limits. `is_in_answer` is set if the part came with that host's answer;
-    `lost_delegations` counts hosts that may have sent an attempt and did not answer.
+    first success, `error_reply` the last error reply that the caller may get. `is_done`
+    is set on success, or when no attempt is pending and none can follow. While
+    `is_delegated`, another host sends the attempts. `is_limited` is set if no attempt
+    was sent because of rate limits. `is_in_answer` is set if the part came with that
+    host's answer; `lost_delegations` counts hosts that may have sent an attempt and did
+    not answer.
     While `is_awaiting_liveness`, it is not known whether a replica has ended under it.
     """
 
--- a/corianderrill/gateway/coordinator.py
+++ b/corianderrill/gateway/coordinator.py
@@ -364,7 +364,8 @@
             self.progress.record_part(sub_request)
             self._sender.withdraw_unsent(sub_request.attempts)
             return
-        if outcome is replies.AttemptOutcome.ERROR_REPLY:
+        is_failure = outcome is replies.AttemptOutcome.ERROR_REPLY
+        if is_failure and not reply.promises_not_executed:
             sub_request.error_reply = reply
         if sub_request.is_awaiting_liveness:
             return
--- a/corianderrill/gateway/replies.py
+++ b/corianderrill/gateway/replies.py
@@ -92,7 +92,8 @@
 
     `signature` proves which replica sent the reply; `echoed_request_id` names the
     request that it answers. `not_executed` and `is_misdirected` say that the server
-    did not execute the request. `rate_limit` is None if the replica advertises none,
+    did not execute the request; `promises_not_executed` that a caller would conclude it
+    from the status alone. `rate_limit` is None if the replica advertises none,
     `retry_after` if it does not ask for a pause, `load_report` if it sends none.
     `is_leaving` says that its process is about to stop. `warmup` is None if the reply
     does not tell whether it is cold.
@@ -106,6 +107,7 @@
     not_executed: bool
     is_misdirected: bool
     has_content_encoding: bool
+    promises_not_executed: bool = False
     rate_limit: RateLimit | InvalidRateLimit | None = None
     retry_after: RetryAfter | InvalidRetryAfter | None = None
     is_leaving: bool = False
--- a/corianderrill/platform/requests.py
+++ b/corianderrill/platform/requests.py
@@ -54,6 +54,8 @@
 # The milliseconds for which the replica is cold.
 _WARMUP_REPLY_HEADER = b"x-warmup-ms"
 STATUS_UNAVAILABLE = 503
+# From each of these, a caller concludes that the request was not executed.
+NOT_EXECUTED_STATUSES = frozenset((408, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE))
 # Headers that are not forwarded; those listed in the Connection header are not either.
 # The gateway writes Content-Length itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -268,6 +270,7 @@
         echoed_request_id=None if echoed_id is None else echoed_id.decode("latin-1"),
         not_executed=_NOT_EXECUTED_REPLY_HEADER in headers_by_name,
         is_misdirected=is_misdirected,
+        promises_not_executed=raw.status in NOT_EXECUTED_STATUSES,
         has_content_encoding=_CONTENT_ENCODING_REPLY_HEADER in headers_by_name,
         rate_limit=_decode_rate_limit(headers_by_name.get(_RATE_LIMIT_REPLY_HEADER)),
         retry_after=_decode_retry_after(raw),
