Refuse replies of the store whose head breaks off

Other operators saw a 200 with an empty or short body, framed as whole, after a replica had closed in the middle of a reply's head. Gateways hold: a reply cut at each byte of its head is no success, on a single request, a part of a query and a hop to an aggregator.

The same cause showed in the calls to the platform's store and in the list of hosts, which go through urllib3: http.client takes the end of the connection for the end of the headers. A lease counted as renewed, a key as removed, missing or changed, and an era of 12 was read as 1, so that the lease seemed to be of another era.

http_pools reads the lines of a head through a file that raises if the connection ends before the empty line. All urllib3 clients take their pools from there. A cut reply is UNREACHABLE to the store's client, as is every call without a reply.

--- a/corianderrill/backends.py
+++ b/corianderrill/backends.py
@@ -17,7 +17,7 @@
 import msgspec
 import urllib3
 
-from corianderrill import attempts, hostlist, names, replies
+from corianderrill import attempts, hostlist, http_pools, names, replies
 
 CONNECT_TIMEOUT_S = 0.25
 POOL_TIMEOUT_S = 0.05
@@ -190,7 +190,7 @@
     def _get_pool(self, server: hostlist.BackendServer) -> urllib3.HTTPConnectionPool:
         pool = self._pools.get(server.replica)
         if pool is None:
-            pool = urllib3.HTTPConnectionPool(
+            pool = http_pools.HostPool(
                 server.address.ip,
                 server.address.port,
                 maxsize=self._connection_share(server),
--- a/corianderrill/cli/configuration.py
+++ b/corianderrill/cli/configuration.py
@@ -19,6 +19,7 @@
     configuration,
     documents,
     findings,
+    http_pools,
     keyvalue,
     names,
     operators,
@@ -344,7 +345,7 @@
         "timeout_s": str(timeout_s),
     }
     try:
-        response = urllib3.request(
+        response = http_pools.build_manager().request(
             "GET",
             f"http://{host}{operators.IN_FORCE_PATH}",
             fields=fields,
--- a/corianderrill/cli/query.py
+++ b/corianderrill/cli/query.py
@@ -4,7 +4,7 @@
 import typer
 import urllib3
 
-from corianderrill import entry, plan, status
+from corianderrill import entry, http_pools, plan, status
 
 DEFAULT_TIMEOUT_S = 15.0
 
@@ -61,7 +61,7 @@
 
 def send(address: str, request: plan.QueryRequest) -> urllib3.BaseHTTPResponse:
     """Send a request to an entry host; raises urllib3's errors."""
-    return urllib3.request(
+    return http_pools.build_manager().request(
         "POST",
         f"http://{address}{entry.QUERY_PATH}",
         body=msgspec.json.encode(request),
--- a/corianderrill/hostlist.py
+++ b/corianderrill/hostlist.py
@@ -10,7 +10,7 @@
 import msgspec
 import urllib3
 
-from corianderrill import names
+from corianderrill import http_pools, names
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -154,7 +154,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        self._pool = urllib3.PoolManager(
+        self._pool = http_pools.build_manager(
             num_pools=1,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
             retries=False,
--- a/corianderrill/inspection.py
+++ b/corianderrill/inspection.py
@@ -7,7 +7,7 @@
 import eventlet
 import urllib3
 
-from corianderrill import credentials, names
+from corianderrill import credentials, http_pools, names
 
 TIMEOUT_S = 5.0
 ASKED_AT_ONCE = 32
@@ -51,7 +51,7 @@
 def _ask_one(
     address: names.Address, target: str, token: credentials.Secret, timeout_s: float
 ) -> Answered | Unreachable:
-    client = urllib3.HTTPConnectionPool(
+    client = http_pools.HostPool(
         address.ip, address.port, timeout=timeout_s, retries=False
     )
     headers = {"Authorization": f"Bearer {token.reveal()}"}
--- a/corianderrill/keyvalue.py
+++ b/corianderrill/keyvalue.py
@@ -11,7 +11,7 @@
 import msgspec
 import urllib3
 
-from corianderrill import names
+from corianderrill import http_pools, names
 
 CONNECT_TIMEOUT_S = 0.5
 REPLY_TIMEOUT_S = 2.0
@@ -273,7 +273,7 @@
 
     def __init__(self, address: names.Address) -> None:
         self._url = f"http://{address}{CALL_PATH}"
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=4, retries=False)
+        self._pool = http_pools.build_manager(num_pools=1, maxsize=4, retries=False)
         self._decoder = msgspec.json.Decoder(Answer)
 
     def exchange(self, call: Call, timeout_s: float) -> Answer | Failure:
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -16,7 +16,7 @@
 import msgspec
 import urllib3
 
-from corianderrill import names
+from corianderrill import http_pools, names
 from corianderrill.gateway import view
 from corianderrill.platform import decoding
 
@@ -439,7 +439,7 @@
 
 
 def _build_pool(address: names.Address) -> urllib3.HTTPConnectionPool:
-    return urllib3.HTTPConnectionPool(
+    return http_pools.HostPool(
         address.ip,
         address.port,
         maxsize=2,
