Teach the soak crossings, cut heads and untrue refusals

Sixty callers of a host keep connections and use each once, with a head of 11 KB, within 40 ms around the moment at which the stopped host closes them. Links cut replies of replicas and of the store within their first 120 bytes. Failing servers answer 408, 429 or 503 without X-Not-Executed at times.

--- a/benchmarks/gateways/callers.py
+++ b/benchmarks/gateways/callers.py
@@ -88,6 +88,8 @@
         self.sends_slowly = False
         # If set, it asks for bookings with this body only.
         self.body: bytes | None = None
+        # Sent beside those that each request has.
+        self.headers: dict[str, str] = {}
 
     def run(self, gap_s: float, until: float) -> None:
         """Ask until then, with random gaps of this mean."""
@@ -97,9 +99,10 @@
                 d for d in self._balancer.doors if d.is_open or d.host in self._kept
             ]
             if doors:
-                self._ask(self._rng.choice(doors))
+                self.ask(self._rng.choice(doors))
 
-    def _ask(self, door: Door) -> None:
+    def ask(self, door: Door) -> None:
+        """Send one request to a host, and note how it ended."""
         is_booking = self.body is not None or self._rng.random() < BOOKING_SHARE
         kind = records.Kind.BOOKING if is_booking else records.Kind.QUERY
         asked = records.Asked(
@@ -143,6 +146,7 @@
         leaves: bool,
     ) -> http.client.HTTPResponse | None:
         headers = {
+            **self.headers,
             "Host": HOST,
             "X-Request-Id": asked.id,
             "X-Deadline-Ms": str(int(1000 * asked.kind.timeout_s)),
--- a/benchmarks/gateways/faults.py
+++ b/benchmarks/gateways/faults.py
@@ -53,6 +53,9 @@
     REPLICA_QUIET = "replica-quiet"
     STORE_WATCHES_SILENT = "store-watches-silent"
     CALLERS_SLOW = "callers-slow"
+    HOST_CROSSED = "host-crossed"
+    REPLICA_CUT = "replica-cut"
+    STORE_CUT = "store-cut"
 
 
 # Shares of the run.
--- a/benchmarks/gateways/links.py
+++ b/benchmarks/gateways/links.py
@@ -1,6 +1,7 @@
 """Links over the loopback: a proxy that delays, resets, cuts or falls silent."""
 
 import enum
+import random
 import socket
 import struct
 
@@ -13,6 +14,9 @@
 STEP_S = 0.02
 DELAY_S = 0.15
 CONNECT_S = 2.0
+# Of what a server sends, a link that cuts passes on less than most heads have.
+CUT_BYTES = 120
+CUT_SHARE = 0.3
 _RESET = struct.pack("ii", 1, 0)
 
 
@@ -27,6 +31,7 @@
     BACK_LOST = "back-lost"
     SILENT = "silent"
     MUTED = "muted"
+    CUT = "cut"
 
 
 _STOPS_FORTH = (Mode.FORTH_LOST, Mode.SILENT)
@@ -38,7 +43,8 @@
 
     What a cut holds back goes on after its end, as packets sent again would. A
     connection that was open while the link is muted stays open and passes nothing on
-    any more.
+    any more. A link that cuts passes on the beginning of some replies, and then closes
+    their connections.
     """
 
     def __init__(self, target: names.Address) -> None:
@@ -144,6 +150,9 @@
         try:
             while piece := source.recv(PIECE_BYTES):
                 self._hold(stops)
+                if self._is_cut(stops):
+                    drain.sendall(piece[: random.randrange(CUT_BYTES)])
+                    break
                 if not self.is_muted:
                     drain.sendall(piece)
             self._hold(stops)
@@ -152,6 +161,11 @@
             # One side was reset, so the other is too.
             self.reset()
 
+    def _is_cut(self, stops: tuple[Mode, ...]) -> bool:
+        is_reply = stops is _STOPS_BACK
+        is_cutting = is_reply and self._link.mode is Mode.CUT
+        return is_cutting and random.random() < CUT_SHARE
+
     def _hold(self, stops: tuple[Mode, ...]) -> None:
         if self._link.mode is Mode.DELAYED:
             eventlet.sleep(DELAY_S)
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -14,6 +14,7 @@
 from benchmarks.gateways import (
     callers,
     checks,
+    crossings,
     faults,
     hosts,
     links,
@@ -77,6 +78,7 @@
     faults.Kind.STORE_REPLIES_LOST: links.Mode.BACK_LOST,
     faults.Kind.STORE_SILENT: links.Mode.SILENT,
     faults.Kind.STORE_MUTED: links.Mode.MUTED,
+    faults.Kind.STORE_CUT: links.Mode.CUT,
 }
 _REPLICA_LINK_MODES = {
     faults.Kind.REPLICA_DELAYED: links.Mode.DELAYED,
@@ -85,6 +87,7 @@
     faults.Kind.REPLICA_REQUESTS_LOST: links.Mode.FORTH_LOST,
     faults.Kind.REPLICA_SILENT: links.Mode.SILENT,
     faults.Kind.REPLICA_MUTED: links.Mode.MUTED,
+    faults.Kind.REPLICA_CUT: links.Mode.CUT,
 }
 _MOODS = {
     faults.Kind.REPLICA_SLOW: servers.Mood.SLOW,
@@ -256,6 +259,8 @@
                 | faults.Kind.HOST_RELOADED
             ):
                 return self._begin_host(kind, host, since) if host.is_up else None
+            case faults.Kind.HOST_CROSSED:
+                return self._begin_crossing(host) if host.is_up else None
             case (
                 faults.Kind.STORE_BUSY
                 | faults.Kind.STORE_RESTORED
@@ -313,6 +318,18 @@
 
         return undo
 
+    def _begin_crossing(self, host: hosts.Host) -> Undo | None:
+        """Stop a host while callers use their kept connections to it."""
+        crossing = crossings.Crossing(
+            host.door, self._balancer, self.history, self._rng
+        )
+        crossing.connect()
+        if not host.is_up:
+            return None
+        since = time.monotonic()
+        crossing.cross(since)
+        return self._begin_host(faults.Kind.HOST_TERMINATED, host, since)
+
     def _begin_store(self, kind: faults.Kind, since: float) -> Undo:
         match kind:
             case faults.Kind.STORE_FORGETFUL:
--- a/benchmarks/gateways/servers.py
+++ b/benchmarks/gateways/servers.py
@@ -17,6 +17,13 @@
 SLOW_S = 0.4
 REFUSED_SHARE = 0.5
 FAILED_SHARE = 0.5
+# Of these, all but the first promise to a caller that nothing has run.
+FAILURES = (
+    (500, "500 Internal Server Error"),
+    (408, "408 Request Timeout"),
+    (429, "429 Too Many Requests"),
+    (503, "503 Service Unavailable"),
+)
 ENDLESS_SHARE = 0.1
 ENDLESS_PIECE = b"a" * 65_536
 PAUSE_S = 3.0
@@ -148,8 +155,8 @@
                 records.Noticed(arrival.replica, arrival.id, time.monotonic())
             )
         if Mood.FAILING in self.moods and self._rng.random() < FAILED_SHARE:
-            arrival.status = 500
-            return "500 Internal Server Error", headers, b"broken"
+            arrival.status, line = self._rng.choice(FAILURES)
+            return line, headers, b"broken"
         arrival.status = 200
         arrival.body = body or build_part(self.service, arrival.id)
         return "200 OK", headers, arrival.body
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,9 +23,15 @@
     *(faults.Kind.REPLICA_ANNOUNCING, faults.Kind.REPLICA_QUIET),
     *(faults.Kind.STORE_WATCHES_SILENT, faults.Kind.CALLERS_SLOW),
 )
+CUT_KINDS = (
+    faults.Kind.HOST_CROSSED,
+    faults.Kind.REPLICA_CUT,
+    faults.Kind.STORE_CUT,
+)
 LATER_KINDS = (
     *(*MUTED_KINDS, faults.Kind.REPLICA_LIMITED, *INCIDENT_KINDS),
     *REVIEW_KINDS,
+    *CUT_KINDS,
 )
 FIRST_KINDS = tuple(kind for kind in faults.Kind if kind not in LATER_KINDS)
 
@@ -101,3 +107,16 @@
     broken = [b for b in report.broken if b.check in (*TIMELESS, "announced", "pauses")]
     assert broken == []
     assert report.asked > 0
+
+
+# Guards against requests that a stopping host runs and does not answer, against untrue
+# refusals, and against replies that are cut in their head.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_gateways_keep_their_promises_as_connections_close_in_the_middle(
+    seed, tmp_path
+):
+    kinds = (*CUT_KINDS, faults.Kind.ALL_FAILING, faults.Kind.HOST_RELOADED)
+    report = soak.run(seed, 3 * SECONDS, SIZE, tmp_path, kinds)
+    broken = [b for b in report.broken if b.check in (*TIMELESS, "losses")]
+    assert broken == []
+    assert all(report.faults.get(kind.value) for kind in CUT_KINDS)
