Send a delegated query directly if its connection ends unconfirmed

A query that crossed the close of an aggregator's idle connections ended with 502: the end of a connection was taken for a failure under work, also before the aggregator had confirmed that it has read the query. Such a query now counts as unconfirmed, like one that is not confirmed in time: the host sends the sub-requests itself, at the cost of the retry budget, as replicas may have got them.

Two tests in test_gateway_delegation.py failed before (INDETERMINATE in place of COMPLETE, no extra attempt); both pass.

--- a/corianderrill/gateway/delegation.py
+++ b/corianderrill/gateway/delegation.py
@@ -204,6 +204,8 @@
         match result:
             case connections.FailedExchange(sent=False):
                 return Outcome.UNSENT
+            case connections.FailedExchange() if not self._is_confirmed:
+                return Outcome.UNCONFIRMED
             case connections.FailedExchange():
                 return Outcome.FAILED
         try:
--- a/tests/utils/virtual_aggregators.py
+++ b/tests/utils/virtual_aggregators.py
@@ -25,6 +25,7 @@
     ANSWER_FOR_ANOTHER = 7
     LEAVE_OUT_A_SHARD = 8
     REFUSE_FOR_LIMITS = 9
+    CLOSE_UNCONFIRMED = 10
 
 
 @dataclasses.dataclass
@@ -66,6 +67,11 @@
                 self._reply(0.0, query, reply)
             case Behavior.STAY_SILENT:
                 pass
+            case Behavior.CLOSE_UNCONFIRMED:
+                failed = connections.FailedExchange(
+                    connections.Failure.CLOSED, sent=True
+                )
+                self._reply(0.0, query, failed)
             case _:
                 self.loop.call_later(WAY_S, query.on_interim_reply)
                 self._continue(query, parse(data))
