Give the graceful shutdown of a process a module of its own

gateway/process joined the parts and carried out the shutdown; the order of its steps is now in gateway/graceful_shutdown, over endpoints (a listener, its server, its application).

--- a/corianderrill/gateway/aggregator_app.py
+++ b/corianderrill/gateway/aggregator_app.py
@@ -58,7 +58,11 @@
         )
         self._relay = relay
         self.in_flight = in_flight.InFlightRequests()
-        self.is_shutting_down = False
+        self._is_shutting_down = False
+
+    def begin_shutdown(self, _must_end_at: float) -> None:
+        """Refuse queries, and end connections after their response."""
+        self._is_shutting_down = True
 
     def get_header_timeout_s(self) -> float:
         """Return how long a host may take to send the headers, in seconds."""
@@ -76,7 +80,7 @@
         response = (
             self._serve_counted(environ) if is_query else self._serve_other(environ)
         )
-        if self.is_shutting_down:
+        if self._is_shutting_down:
             environ["corianderrill.connection"].close_connection = True
         leaving = self._list_leaving() if is_query else ()
         headers = [
@@ -139,7 +143,7 @@
         selected = configuration.select_route(host, path)
         if selected is None or not _covers(selected.route, terms.shards):
             return self._refuse(request_id, "no-route")
-        if self.is_shutting_down or self.in_flight.served > self._max_in_flight:
+        if self._is_shutting_down or self.in_flight.served > self._max_in_flight:
             return self._refuse(request_id, "no-capacity")
         sock = environ["eventlet.input"].get_socket()
         if not _confirm(sock):
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -17,6 +17,7 @@
     aggregator_app,
     aggregator_role,
     aggregators,
+    caller_connections,
     caller_servers,
     change_history,
     crash_notes,
@@ -24,6 +25,7 @@
     demand,
     demand_reporter,
     event_log,
+    graceful_shutdown,
     listeners,
     loop,
     pools,
@@ -54,14 +56,6 @@
 SETTINGS_CHECK_INTERVAL_S = 2.0
 METRICS_PATH = "/metrics"
 INTERNAL_SOCKET_TIMEOUT_S = 30.0
-# The load balancer probes readiness once a second and acts on two equal results in a
-# row. So a host that shuts down first reports not ready for two intervals and a margin.
-SHUTDOWN_ANNOUNCE_S = 2.4
-# The process exits this long before the platform would kill it.
-SHUTDOWN_GRACE_MARGIN_S = 0.3
-SHUTDOWN_POLL_INTERVAL_S = 0.02
-# Of the time before the exit, kept for writing the answers of what has not ended.
-SHUTDOWN_ANSWER_TIME_S = 0.25
 # If no ready replica is left, a draining replica may still be used for this share of
 # `drain_s`, the time for which a draining replica keeps running. The larger share is
 # for a replica whose store entry was removed before it reported draining.
@@ -178,8 +172,8 @@
             host_settings, self._shared
         )
         self._apply_bounds(host_settings.bounds)
-        # Of the addresses for callers and for other hosts.
-        self._listeners: list[listeners.Listener] = []
+        # For callers and for other hosts.
+        self._endpoints: list[graceful_shutdown.Endpoint] = []
         self._stopped = event.Event()
         self._is_shutting_down = False
 
@@ -240,8 +234,9 @@
     def run(self) -> status.ExitStatus:
         """Serve until SIGTERM or SIGINT; return the exit status."""
         host_settings = self._host_settings
-        listener = listeners.listen(host_settings.listen_address, self.log)
-        self._listeners.append(listener)
+        callers_endpoint = self._listen(
+            host_settings.listen_address, self._caller_server, self._app
+        )
         readiness_listener = listeners.listen(host_settings.readiness_address, self.log)
         metrics_listener = listeners.listen(host_settings.metrics_address, self.log)
         signal.signal(signal.SIGTERM, self._on_termination_signal)
@@ -264,11 +259,7 @@
             "metrics",
             lambda: _serve_internal(metrics_listener, self._respond_to_metrics),
         )
-        start(
-            "callers",
-            lambda: self._caller_server.run(listener, self._app),
-            is_essential=True,
-        )
+        start("callers", callers_endpoint.run, is_essential=True)
         if host_settings.aggregation_address is not None:
             self._listen_for_delegated_queries(host_settings.aggregation_address)
         self.log.record(
@@ -285,13 +276,20 @@
         self._log_handler.flush()
         return status.ExitStatus.SUCCESS
 
-    def _listen_for_delegated_queries(self, address: names.Address) -> None:
+    def _listen(
+        self,
+        address: names.Address,
+        server: caller_connections.Server,
+        app: graceful_shutdown.App,
+    ) -> graceful_shutdown.Endpoint:
         listener = listeners.listen(address, self.log)
-        self._listeners.append(listener)
-        self._supervisor.start(
-            "aggregation",
-            lambda: self._host_server.run(listener, self._aggregator_app),
-        )
+        endpoint = graceful_shutdown.Endpoint(listener, server, app)
+        self._endpoints.append(endpoint)
+        return endpoint
+
+    def _listen_for_delegated_queries(self, address: names.Address) -> None:
+        endpoint = self._listen(address, self._host_server, self._aggregator_app)
+        self._supervisor.start("aggregation", endpoint.run)
         self._supervisor.start("aggregator-role", self._aggregator_role.run)
         self._supervisor.start("orphan-role", self._orphan_role.run)
 
@@ -351,58 +349,19 @@
         eventlet.spawn(self._shut_down, signal.Signals(signal_number).name)
 
     def _shut_down(self, signal_name: str) -> None:
-        """Report not ready, close connections after their response, then stop.
-
-        Requests in flight may finish within the grace time. Those that do not are
-        answered before it is over.
-        """
-        exit_at = (
-            loop.read_clock()
-            + self._host_settings.bounds.grace_s
-            - SHUTDOWN_GRACE_MARGIN_S
+        """Report not ready, answer what has arrived, then stop."""
+        shutdown = graceful_shutdown.GracefulShutdown(
+            self._endpoints, self._host_settings.bounds.grace_s, self.log
         )
-        self.log.record(event_log.Stopping(signal_name, self._count_in_flight()))
-        self._app.must_end_at = exit_at - SHUTDOWN_ANSWER_TIME_S
-        self._aggregator_app.is_shutting_down = True
         self._store_relay.close()
         eventlet.spawn(self._aggregator_role.retire)
         eventlet.spawn(self._orphan_role.retire)
-        eventlet.sleep(SHUTDOWN_ANNOUNCE_S)
+        shutdown.announce(signal_name)
         self._demand_task.kill()
         eventlet.spawn(self._demand_reporter.withdraw)
-        for listener in self._listeners:
-            listener.stop()
-        for server in (self._caller_server, self._host_server):
-            server.stop()
-        self._wait_for_connections(self._app.must_end_at)
-        self._app.in_flight.end_forwarded()
-        self._aggregator_app.in_flight.end_forwarded()
-        self._wait_for_connections(exit_at)
-        # Leaves time to send the last responses.
-        eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
-        unanswered = self._count_in_flight()
-        ending = "grace-over" if unanswered else "finished"
-        self.log.record(event_log.Stopped(ending, unanswered))
+        shutdown.finish()
         self._stopped.send(None)
 
-    def _wait_for_connections(self, until: float) -> None:
-        """Wait until all requests have their answer, or until a time.
-
-        A connection that is still open carries a request, or its beginning.
-        """
-        while self._is_serving() and loop.read_clock() < until:
-            eventlet.sleep(SHUTDOWN_POLL_INTERVAL_S)
-
-    def _is_serving(self) -> bool:
-        open_connections = (
-            self._caller_server.count_connections()
-            + self._host_server.count_connections()
-        )
-        return bool(open_connections or self._count_in_flight())
-
-    def _count_in_flight(self) -> int:
-        return self._app.in_flight.unwritten + self._aggregator_app.in_flight.unwritten
-
     # Readiness and metrics.
 
     def _is_ready(self) -> bool:
--- a/corianderrill/gateway/wsgi_app.py
+++ b/corianderrill/gateway/wsgi_app.py
@@ -67,12 +67,16 @@
         self.in_flight = in_flight.InFlightRequests()
         self._refusals = refusals.Refusals(shared, self.in_flight)
         # When the last answer has to be known, once the process shuts down.
-        self.must_end_at: float | None = None
+        self._must_end_at: float | None = None
 
     @property
     def is_shutting_down(self) -> bool:
         """Whether the process was told to stop."""
-        return self.must_end_at is not None
+        return self._must_end_at is not None
+
+    def begin_shutdown(self, must_end_at: float) -> None:
+        """End connections after their response; know all answers by a time."""
+        self._must_end_at = must_end_at
 
     def __call__(
         self, environ: dict[str, object], start_response: responses.StartResponse
@@ -249,11 +253,11 @@
             requests.find_header(headers, requests.DEADLINE_MS_HEADER)
         )
         limit_s = limit_s or route.timeout_s
-        if self.must_end_at is None:
+        if self._must_end_at is None:
             return limit_s
-        if self.must_end_at - self._shared.loop.now() < route.goal_s:
+        if self._must_end_at - self._shared.loop.now() < route.goal_s:
             return None
-        return min(limit_s, self.must_end_at - received_at)
+        return min(limit_s, self._must_end_at - received_at)
 
     def _wait_for_configuration(self, now: float) -> routes.Configuration | None:
         """Return the configuration.
