--- a/benchmarks/gateways/faults.py
+++ b/benchmarks/gateways/faults.py
@@ -8,6 +8,10 @@
 import enum
 import itertools
 import random
+from collections.abc import Callable
+
+# Ends a fault that was begun.
+Undo = Callable[[], None]
 
 
 class Kind(enum.Enum):
@@ -118,3 +122,7 @@
         for begin_s in begins
         if begin_s < end_s
     ]
+
+
+def do_nothing() -> None:
+    """End a fault that was over at once."""
--- a/benchmarks/gateways/records.py
+++ b/benchmarks/gateways/records.py
@@ -196,3 +196,14 @@
     started: list[Started] = dataclasses.field(default_factory=list)
     faults_end_at: float = 0.0
     ended_at: float = 0.0
+
+    def disturb(self, since: float, host: HostName | None = None) -> Disturbed:
+        """Note a disturbance without an end yet."""
+        span = Disturbed(since, float("inf"), host)
+        self.disturbed.append(span)
+        return span
+
+    def end_disturbance(self, span: Disturbed, at: float) -> None:
+        """Note the end of a disturbance."""
+        self.disturbed.remove(span)
+        self.disturbed.append(dataclasses.replace(span, until=at))
