--- a/corianderrill/gateway/attempts.py
+++ b/corianderrill/gateway/attempts.py
@@ -155,8 +155,8 @@
     `is_delegated`, another host sends the attempts. `is_limited` is set if no attempt
     was sent because of rate limits. `is_in_answer` is set if the part came with that
     host's answer; `lost_delegations` counts hosts that may have sent an attempt and did
-    not answer.
-    While `is_awaiting_liveness`, it is not known whether a replica has ended under it.
+    not answer. While `is_awaiting_liveness`, it is not known whether a replica has
+    ended under it.
     """
 
     service: names.ServiceName
