--- a/benchmarks/gateways/crossings.py
+++ b/benchmarks/gateways/crossings.py
@@ -12,7 +12,7 @@
 CALLERS = 60
 # Around the close of the host's idle connections.
 SPREAD_S = 0.04
-# So many header lines take a host longer to read than the first segment of a head.
+# Together some 11 KB, which come in several segments.
 HEADER_LINES = 400
 BODY = b"crossing "
 HEADERS = {f"X-Field-{number:03}": f"{number:011}" for number in range(HEADER_LINES)}
