--- a/review/harness3/rig.py
+++ b/review/harness3/rig.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -86,6 +87,12 @@
         self.history = []
         self.leases = {}
         self._lease_ids = itertools.count(1)
+        # How many seconds old the replies to reads with `serializable` are.
+        self.stale_s = 0.0
+        self._versions = []
+        # Whether the reply to the next watch that has events is lost.
+        self.loses_next_watch = False
+        self.lost_at = None
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -108,6 +115,9 @@
                 path, _, query = self.path.partition("?")
                 fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 status, reply = store.answer(self.command, path, fields, document)
+                if status is None:
+                    # The connection returns nothing further.
+                    threading.Event().wait()
                 body = json.dumps(reply).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
@@ -144,8 +154,23 @@
         }
         self.items[key] = item
         self.history.append(item)
+        self._keep_version()
         self.lock.notify_all()
 
+    def _keep_version(self):
+        if self.stale_s:
+            version = (time.monotonic(), self.revision, dict(self.items))
+            self._versions.append(version)
+
+    def _find_version(self, is_stale):
+        """Return the items and the revision that a read is answered from."""
+        if not is_stale or not self.stale_s:
+            return self.items, self.revision
+        until = time.monotonic() - self.stale_s
+        old = [v for v in self._versions if v[0] <= until]
+        _, revision, items = old[-1] if old else self._versions[0]
+        return items, revision
+
     def remove(self, key):
         with self.lock:
             self._remove(key)
@@ -156,6 +181,7 @@
         self.revision += 1
         event = {"key": key, "revision": self.revision, "deleted": True}
         self.history.append(event)
+        self._keep_version()
         self.lock.notify_all()
 
     def answer(self, method, path, fields, document):
@@ -165,12 +191,12 @@
             self._end_leases()
             if path == "/api/kv-range":
                 prefix, after = fields.get("prefix", ""), fields.get("after", "")
-                keys = sorted(
-                    k for k in self.items if k.startswith(prefix) and k > after
-                )
-                page = [self.items[k] for k in keys[:500]]
+                is_stale = fields.get("serializable") == "1"
+                items, revision = self._find_version(is_stale)
+                keys = sorted(k for k in items if k.startswith(prefix) and k > after)
+                page = [items[k] for k in keys[:500]]
                 more = len(keys) > 500
-                return 200, {"items": page, "has_more": more, "at": self.revision}
+                return 200, {"items": page, "has_more": more, "at": revision}
             if path == "/api/kv-key":
                 item = self.items.get(fields.get("key"))
                 if item is None:
@@ -234,6 +260,11 @@
                     if e["revision"] > after and e["key"].startswith(prefix)
                 ]
                 left = end - time.monotonic()
+                if events and self.loses_next_watch:
+                    self.loses_next_watch = False
+                    self.lost_at = time.monotonic()
+                    self.record.write("store: the reply to a watch is lost")
+                    return None, None
                 if events or left <= 0:
                     return 200, {"events": events, "at": self.revision}
                 self.lock.wait(min(left, 0.5))
@@ -473,6 +504,8 @@
 
     def stop(self):
         """End as a process does that is killed."""
+        # Without this, a thread that waits in accept keeps the socket open.
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for sock in list(self._socks):
             try:
@@ -487,8 +520,11 @@
 class Gateway:
     """One gateway process, started as the deploy file says."""
 
-    def __init__(self, directory, name, store_address, zone=ZONES[0], bounds=None):
+    def __init__(
+        self, directory, name, store_address, zone=ZONES[0], bounds=None, between=()
+    ):
         self.name = name
+        self._between = list(between)
         front, ready, metrics = (pick_port() for _ in range(3))
         self.front = f"{IP}:{front}"
         self.ready = f"{IP}:{ready}"
@@ -508,7 +544,7 @@
             f'ip = "{IP}"',
             f'zone = "{zone}"',
             'region = "region"',
-            "port_range = []",
+            f"port_range = {self._between}",
             "seeds = []",
             "bootstrap = true",
             'discovery = "platform"',
@@ -593,9 +629,19 @@
     """The case could not be set up."""
 
 
+# Below those that the system gives to outgoing connections.
+PORTS = range(12_000, 30_000)
+
+
 def pick_port():
-    with socket.create_server((IP, 0)) as sock:
-        return sock.getsockname()[1]
+    """Return a free port; another process may take it before it is used."""
+    while True:
+        port = random.choice(PORTS)
+        try:
+            socket.create_server((IP, port)).close()
+        except OSError:
+            continue
+        return port
 
 
 class Rig:
@@ -693,6 +739,8 @@
     if not (ROOT / "target" / "deps").exists():
         print("target/deps is missing: run the build of deploy/system.toml")
         sys.exit(EXIT_NOT_RUN)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(EXIT_NOT_RUN))
     rig = Rig(directory)
     code = EXIT_NOT_RUN
     try:
