--- a/review/harness3/rig.py
+++ b/review/harness3/rig.py
@@ -6,6 +6,7 @@
 
 import base64
 import collections
+import contextlib
 import http.server
 import itertools
 import json
@@ -15,6 +16,7 @@
 import shutil
 import signal
 import socket
+import socketserver
 import subprocess
 import sys
 import tempfile
@@ -51,11 +53,6 @@
 EXIT_NOT_RUN = 2
 
 
-def is_trouble() -> bool:
-    """Return whether the disruption of the case is to happen."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """The lines of `record.txt`, with the time since the start."""
 
@@ -90,50 +87,14 @@
         # How many seconds old the replies to reads with `serializable` are.
         self.stale_s = 0.0
         self._versions = []
-        # Whether the reply to the next watch that has events is lost.
-        self.loses_next_watch = False
-        self.lost_at = None
-        store = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def log_message(self, *_):
-                pass
-
-            def do_GET(self):
-                self._answer(None)
+        self._doors = []
+        self.address = self.open_door().address
 
-            def do_DELETE(self):
-                self._answer(None)
-
-            def do_POST(self):
-                length = int(self.headers.get("Content-Length") or 0)
-                self._answer(json.loads(self.rfile.read(length) or b"{}"))
-
-            def _answer(self, document):
-                path, _, query = self.path.partition("?")
-                fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-                status, reply = store.answer(self.command, path, fields, document)
-                if status is None:
-                    # The connection returns nothing further.
-                    threading.Event().wait()
-                body = json.dumps(reply).encode()
-                self.send_response(status)
-                self.send_header("Content-Type", "application/json")
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-        class Server(http.server.ThreadingHTTPServer):
-            daemon_threads = True
-
-            def handle_error(self, *_):
-                pass
-
-        self.server = Server((IP, 0), Handler)
-        self.address = f"{IP}:{self.server.server_address[1]}"
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+    def open_door(self):
+        """Return one more address of the store."""
+        door = Door(self)
+        self._doors.append(door)
+        return door
 
     def put(self, key, value, lease=0):
         """Write a key; return when the write was acknowledged."""
@@ -184,9 +145,9 @@
         self._keep_version()
         self.lock.notify_all()
 
-    def answer(self, method, path, fields, document):
+    def answer(self, door, path, fields, document):
         if path == "/api/kv-watch":
-            return self._watch(fields)
+            return self._watch(door, fields)
         with self.lock:
             self._end_leases()
             if path == "/api/kv-range":
@@ -249,7 +210,7 @@
             self._put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
         return 200, {"revision": self.revision}
 
-    def _watch(self, fields):
+    def _watch(self, door, fields):
         prefix, after = fields.get("prefix", ""), int(fields["after"])
         end = time.monotonic() + int(fields["wait_ms"]) / 1000
         with self.lock:
@@ -260,19 +221,88 @@
                     if e["revision"] > after and e["key"].startswith(prefix)
                 ]
                 left = end - time.monotonic()
-                if events and self.loses_next_watch:
-                    self.loses_next_watch = False
-                    self.lost_at = time.monotonic()
-                    self.record.write("store: the reply to a watch is lost")
-                    return None, None
                 if events or left <= 0:
                     return 200, {"events": events, "at": self.revision}
                 self.lock.wait(min(left, 0.5))
                 self._end_leases()
 
     def stop(self):
-        self.server.shutdown()
-        self.server.server_close()
+        for door in self._doors:
+            door.stop()
+
+
+class _Server(socketserver.ThreadingMixIn, socketserver.TCPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def handle_error(self, *_):
+        pass
+
+
+class Door:
+    """One address of the store; while it is silent, no call there gets a response.
+
+    A connection on which a response is lost returns nothing further.
+    """
+
+    def __init__(self, store):
+        self._silent_from = self._silent_until = 0.0
+        # When a stale read was last answered; lost responses, by path.
+        self.stale_read_at = 0.0
+        self.lost = []
+        door = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                self._answer(None)
+
+            def do_DELETE(self):
+                self._answer(None)
+
+            def do_POST(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                self._answer(json.loads(self.rfile.read(length) or b"{}"))
+
+            def _answer(self, document):
+                path, _, query = self.path.partition("?")
+                fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+                was_silent = door.is_silent()
+                status, reply = store.answer(door, path, fields, document)
+                if was_silent or door.is_silent():
+                    door.lost.append(path)
+                    store.record.write(f"store: the response to {path} is lost")
+                    threading.Event().wait()
+                if fields.get("serializable") == "1":
+                    door.stale_read_at = time.monotonic()
+                body = json.dumps(reply).encode()
+                self.send_response(status)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+        self._server = _Server((IP, 0), Handler)
+        self.address = f"{IP}:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def fall_silent(self, for_s):
+        """Give no response to calls that come, or are due, in the next `for_s`."""
+        self._silent_from = time.monotonic()
+        self._silent_until = self._silent_from + for_s
+        return self._silent_until
+
+    def is_silent(self):
+        return self._silent_from <= time.monotonic() < self._silent_until
+
+    def stop(self):
+        self._server.shutdown()
+        self._server.server_close()
 
 
 # HTTP/1.1 on a socket.
@@ -409,9 +439,11 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, record, service, zone=ZONES[0], work_s=0.01, slots=4):
+    def __init__(
+        self, record, service, zone=ZONES[0], work_s=0.01, slots=4, id_=None, port=0
+    ):
         self.record = record
-        self.id = f"i-{os.getpid():x}-{next(self._numbers)}"
+        self.id = id_ or f"i-{os.getpid():x}-{next(self._numbers)}"
         self.service = service
         self.zone = zone
         self.work_s = work_s
@@ -423,9 +455,10 @@
         self._gate = threading.Semaphore(slots)
         self._seq_no = 0
         self.born = round(time.time() * 1000)
-        self._listener = socket.create_server((IP, 0), backlog=512)
+        self._listener = socket.create_server((IP, port), backlog=512)
         self.address = f"{IP}:{self._listener.getsockname()[1]}"
         self._socks = set()
+        self._is_stopped = False
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
@@ -504,6 +537,9 @@
 
     def stop(self):
         """End as a process does that is killed."""
+        if self._is_stopped:
+            return
+        self._is_stopped = True
         # Without this, a thread that waits in accept keeps the socket open.
         self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
@@ -593,7 +629,7 @@
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
-        with open(self.log, "ab") as log:
+        with open(self.log, "ab") as log, Interrupts.deferred():
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
@@ -625,6 +661,42 @@
         self.process.wait()
 
 
+class Interrupts:
+    """Signals that end the script; one that comes while a process starts waits."""
+
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    _is_deferred = False
+    _is_pending = False
+
+    @classmethod
+    def install(cls):
+        for number in cls.numbers:
+            signal.signal(number, cls._handle)
+
+    @classmethod
+    def ignore(cls):
+        for number in cls.numbers:
+            signal.signal(number, signal.SIG_IGN)
+
+    @classmethod
+    def _handle(cls, *_):
+        if cls._is_deferred:
+            cls._is_pending = True
+        else:
+            raise CannotRunError("interrupted")
+
+    @classmethod
+    @contextlib.contextmanager
+    def deferred(cls):
+        cls._is_deferred = True
+        try:
+            yield
+        finally:
+            cls._is_deferred = False
+        if cls._is_pending:
+            raise CannotRunError("interrupted")
+
+
 class CannotRunError(Exception):
     """The case could not be set up."""
 
@@ -654,14 +726,17 @@
         self.replicas = []
         self.gateways = []
 
-    def add_replica(self, *arguments, **options):
+    def add_replica(self, *arguments, clock_ahead_ms=0, **options):
         replica = Replica(self.record, *arguments, **options)
+        replica.born += clock_ahead_ms
         self.replicas.append(replica)
         replica.register(self.store)
+        self.record.write(f"{replica.id} starts, born {replica.born}")
         return replica
 
-    def add_gateway(self, name="front-1", **options):
-        gateway = Gateway(self.directory, name, self.store.address, **options)
+    def add_gateway(self, name="front-1", store_address=None, **options):
+        address = store_address or self.store.address
+        gateway = Gateway(self.directory, name, address, **options)
         self.gateways.append(gateway)
         return gateway
 
@@ -725,9 +800,9 @@
         "services": [{"name": name, "max_conns": max_conns} for name in services],
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": 1048576,
-            "header_timeout_ms": 5000,
-            "idle_timeout_ms": 20000,
+            "max_body_bytes": 262144,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
         },
         **changes,
     }
@@ -739,8 +814,7 @@
     if not (ROOT / "target" / "deps").exists():
         print("target/deps is missing: run the build of deploy/system.toml")
         sys.exit(EXIT_NOT_RUN)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: sys.exit(EXIT_NOT_RUN))
+    Interrupts.install()
     rig = Rig(directory)
     code = EXIT_NOT_RUN
     try:
@@ -756,9 +830,12 @@
         traceback.print_exc()
         print("could not run: an error of the script")
     finally:
+        Interrupts.ignore()
         rig.stop()
     rig.record.write(f"exit {code}")
-    sys.exit(code)
+    sys.stdout.flush()
+    # Threads that still wait for an answer are not waited for.
+    os._exit(code)
 
 
 def count_by(values):
