--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -120,10 +120,14 @@
 
 
 class WatchSilent(msgspec.Struct, tag="store-watch-silent", tag_field="event"):
-    """A watch gets no reply though the store has changes; all keys are read again."""
+    """A watch gets no reply though the store has changes; all keys are read again.
+
+    `view_age_ms` is the time since the store confirmed the view, None if it never did.
+    """
 
     revision: int
     era: int = 0
+    view_age_ms: float | None = None
 
 
 class StoreRestored(msgspec.Struct, tag="store-restored", tag_field="event"):
@@ -162,12 +166,16 @@
 
 
 class RelayLost(msgspec.Struct, tag="relay-lost", tag_field="event"):
-    """An aggregator does not answer in place of the store; others are asked."""
+    """An aggregator does not answer in place of the store; others are asked.
+
+    `view_age_ms` is the time since the view was confirmed, None if it never was.
+    """
 
     aggregator: str
     error: str
     revision: int
     era: int = 0
+    view_age_ms: float | None = None
 
 
 class AggregatorSeen(msgspec.Struct, tag="aggregator", tag_field="event"):
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -181,9 +181,16 @@
         except store.StoreError as error:
             if error.kind is store.FailureKind.RESTORED:
                 raise
-            self.aggregators.record_relay_failure(relay, self.clock())
+            now = self.clock()
+            self.aggregators.record_relay_failure(relay, now)
             self.log.record(
-                event_log.RelayLost(relay.host, str(error), self.revision, self.era)
+                event_log.RelayLost(
+                    relay.host,
+                    str(error),
+                    self.revision,
+                    self.era,
+                    self.view.get_age_ms(now),
+                )
             )
             return
         self._apply_batch(batch)
@@ -329,7 +336,11 @@
             self.log.record(event_log.HistoryLost(self.revision, self.era))
             return
         if error.kind is store.FailureKind.SILENT:
-            self.log.record(event_log.WatchSilent(self.revision, self.era))
+            self.log.record(
+                event_log.WatchSilent(
+                    self.revision, self.era, self.view.get_age_ms(now)
+                )
+            )
             return
         if error.kind is store.FailureKind.RESTORED:
             # The line that tells of the new era follows when all keys are read. Most
