--- /dev/null
+++ b/corianderrill/gateway/watch_timing.py
@@ -0,0 +1,69 @@
+"""Decides how long a watch may wait and when it counts as dead.
+
+A watch that will never be answered looks like one with nothing to report. Each watch
+therefore returns before the view is too old, with changes or without: the reply confirms
+the view, and a reply that is missing shows that the watch is dead.
+
+Times are in seconds; `max_apply_delay_s` is the time within which a host has to apply a
+change.
+"""
+
+import dataclasses
+import enum
+
+MARGIN_RATIO = 0.2
+# A slow store answers within this time.
+MAX_MARGIN_S = 0.6
+# A watch that does not wait returns what has changed so far.
+MIN_WAIT_S = 0.01
+
+
+class Source(enum.Enum):
+    """What answers a watch.
+
+    The value is the age of the view at which a reply is due, as a ratio of the time
+    within which a host has to apply a change. A change may reach a host by way of an
+    aggregator, so the last two ratios and their margins add up.
+    """
+
+    STORE = 0.55
+    STORE_FOR_AGGREGATOR = 0.4
+    AGGREGATOR = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchTerms:
+    """How long a watch may be held open, and how long its reply is waited for."""
+
+    wait_s: float
+    timeout_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class WatchTiming:
+    """The times of watches, from the time within which a change has to apply."""
+
+    max_apply_delay_s: float = 3.0
+
+    def get_margin_s(self) -> float:
+        """Return how long after its wait the reply to a watch may come."""
+        return min(MARGIN_RATIO * self.max_apply_delay_s, MAX_MARGIN_S)
+
+    def get_interval_s(self, source: Source) -> float:
+        """Return the time between the replies of a source."""
+        return source.value * self.max_apply_delay_s
+
+    def get_max_age_s(self, source: Source) -> float:
+        """Return the age of a view above which a reply is missing."""
+        return self.get_interval_s(source) + self.get_margin_s()
+
+    def compute_terms(self, source: Source, view_age_s: float) -> WatchTerms:
+        """Return the terms of the next watch; the age is infinite for a new host."""
+        interval_s = self.get_interval_s(source)
+        match source:
+            case Source.AGGREGATOR if view_age_s <= self.max_apply_delay_s:
+                # The age may be the aggregator's, which a shorter wait does not lower.
+                wait_s = interval_s
+            case _:
+                wait_s = max(interval_s - view_age_s, MIN_WAIT_S)
+        return WatchTerms(wait_s, wait_s + self.get_margin_s())
