Only replies that cannot be stale confirm what a host knows of the store

Cause: the reply to the watch was lost, and the only sign of a dead watch is a probe. Each probe is a read that may be stale: while it was behind, it showed the revision that the host knew, and even counted as a confirmation. store-watch-silent told of a view confirmed 1.6 s before, more than 5 s after the last reply that could not be stale.

Change: a watch waits until the view reaches 0.55 of the time within which a change has to apply (aggregators 0.4, hosts behind one 0.2), so that its reply, empty or not, confirms the view; one that is missing a margin later shows that the watch is dead. The next one does not wait; if that fails too, a current read of the revision decides whether all keys are read. Probes stay, to notice a store that does not answer, and confirm nothing.

Related paths: a start (stale first read, then a stale probe, confirmed the view before the first watch was answered), the call after an outage, a store that answers no watch at all.

In test_gateway_store_probe.py two tests asked for the fault itself: that a probe confirms the view, and that one watch stays open however many probes are answered. In their place: a watch's empty reply confirms, a probe confirms nothing, no outage is seen in calm, watches keep to their interval. StoreClient.watch takes its timeout from the caller.

--- a/benchmarks/gateways/faults.py
+++ b/benchmarks/gateways/faults.py
@@ -60,6 +60,8 @@
     HOST_CROSSED = "host-crossed"
     REPLICA_CUT = "replica-cut"
     STORE_CUT = "store-cut"
+    STORE_STALE = "store-stale"
+    STORE_REPLY_DROPPED = "store-reply-dropped"
 
 
 # Shares of the run.
@@ -72,6 +74,9 @@
 SPANS_S = {
     Kind.REPLICA_LIMITED: (6.0, 14.0),
     Kind.CRASHING_REQUEST: (8.0, 14.0),
+    Kind.STORE_STALE: (6.0, 14.0),
+    # Shorter than the time between probes, which would notice it.
+    Kind.STORE_REPLY_DROPPED: (0.1, 0.4),
 }
 SERIES_CHANCE = 0.25
 SERIES_LENGTHS = (2, 3, 4)
--- a/benchmarks/gateways/links.py
+++ b/benchmarks/gateways/links.py
@@ -31,6 +31,7 @@
     BACK_LOST = "back-lost"
     SILENT = "silent"
     MUTED = "muted"
+    DROPPED = "dropped"
     CUT = "cut"
 
 
@@ -43,8 +44,9 @@
 
     What a cut holds back goes on after its end, as packets sent again would. A
     connection that was open while the link is muted stays open and passes nothing on
-    any more. A link that cuts passes on the beginning of some replies, and then closes
-    their connections.
+    any more; so does one on which a reply came while the link drops replies. A link
+    that cuts passes on the beginning of some replies, and then closes their
+    connections.
     """
 
     def __init__(self, target: names.Address) -> None:
@@ -150,6 +152,7 @@
         try:
             while piece := source.recv(PIECE_BYTES):
                 self._hold(stops)
+                self.is_muted |= self._is_dropped(stops)
                 if self._is_cut(stops):
                     drain.sendall(piece[: random.randrange(CUT_BYTES)])
                     break
@@ -161,6 +164,9 @@
             # One side was reset, so the other is too.
             self.reset()
 
+    def _is_dropped(self, stops: tuple[Mode, ...]) -> bool:
+        return stops is _STOPS_BACK and self._link.mode is Mode.DROPPED
+
     def _is_cut(self, stops: tuple[Mode, ...]) -> bool:
         is_reply = stops is _STOPS_BACK
         is_cutting = is_reply and self._link.mode is Mode.CUT
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -28,6 +28,8 @@
 # A driver that is held up for longer cannot tell what the hosts did.
 LAG_AT_MOST_S = 0.1
 WATCH_EVERY_S = 0.2
+# Hosts are in touch again by then.
+NEXT_VERSION_AFTER_S = checks.CONTACT_S + 0.5
 FIXED_BASE = 40
 FIXED_A_HOST = 2
 # Sized for as many hosts as make gateways want aggregators.
@@ -199,6 +201,10 @@
                 return self._begin_habit("sends_slowly")
             case faults.Kind.STORE_WATCHES_SILENT:
                 return self._store_faults.begin_silent_watches()
+            case faults.Kind.STORE_REPLY_DROPPED:
+                return self._begin_dropped_reply(host, since)
+            case faults.Kind.STORE_STALE:
+                return self._store_faults.begin_stale_reads(fault.pick)
             case faults.Kind.CRASHING_REQUEST:
                 return self._begin_crashing(fault)
             case _ if kind in fleet.KINDS_OF_ALL:
@@ -218,6 +224,13 @@
 
         return undo
 
+    def _begin_dropped_reply(self, host: hosts.Host, since: float) -> faults.Undo:
+        """Lose the reply that tells a host of a version; another one follows."""
+        undo = self._begin_link(host.store_link, links.Mode.DROPPED, host, since)
+        self._operator.publish()
+        eventlet.spawn_after(NEXT_VERSION_AFTER_S, self._operator.publish)
+        return undo
+
     def _begin_host(
         self, kind: faults.Kind, host: hosts.Host, since: float
     ) -> faults.Undo:
--- a/benchmarks/gateways/store_faults.py
+++ b/benchmarks/gateways/store_faults.py
@@ -12,6 +12,8 @@
 # A restored store goes back by so much.
 COPY_AGE_S = 5.0
 COPY_EVERY_S = 0.5
+# How far stale reads may be behind.
+STALE_AGES_S = (3.0, 6.0)
 _ENTRY = (
     b'{"service":"shard-0","address":"127.0.0.1:%b","zone":"zone-a","version":"v1",'
     b'"capacity":%b,"state":"ready","warmup_left_ms":0,"seq_no":1,"born":%b}'
@@ -53,6 +55,7 @@
         )
         self._garbage = itertools.count(1)
         self._busy = 0
+        self._stale = 0
 
     def keep_copies(self) -> None:
         """Keep copies of the store; the oldest is as old as `COPY_AGE_S`."""
@@ -99,6 +102,21 @@
 
         return undo
 
+    def begin_stale_reads(self, pick: int) -> faults.Undo:
+        """Answer stale reads from what the store held seconds ago.
+
+        This is no disturbance: the store may do so at any time.
+        """
+        self._stale += 1
+        self._store.delay_stale_reads(STALE_AGES_S[pick % len(STALE_AGES_S)])
+
+        def undo() -> None:
+            self._stale -= 1
+            if not self._stale:
+                self._store.delay_stale_reads(0.0)
+
+        return undo
+
     def _restore(self, copy: object) -> None:
         """Go back to a copy; the operator and the servers write again."""
         self._store.restore(copy)
--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -139,15 +139,22 @@
         )
 
     def select_relay(
-        self, zone: names.ZoneName, now: float, rng: random.Random
+        self,
+        zone: names.ZoneName,
+        now: float,
+        rng: random.Random,
+        former: Aggregator | None = None,
     ) -> Aggregator | None:
         """Return an aggregator to watch in place of the store, if there is one.
 
-        An aggregator itself watches the store.
+        This is the `former` one while it is available. An aggregator itself watches
+        the store.
         """
         if self.is_aggregator():
             return None
         available = self._list_available(zone, now, self._relay_health)
+        if former in available:
+            return former
         return rng.choice(available) if available else None
 
     def _list_available(
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -120,7 +120,7 @@
 
 
 class WatchSilent(msgspec.Struct, tag="store-watch-silent", tag_field="event"):
-    """A watch gets no reply though the store has changes; all keys are read again.
+    """A watch got no reply in time; the changes are asked for again.
 
     `view_age_ms` is the time since the store confirmed the view, None if it never did.
     """
--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -46,6 +46,7 @@
     store_watcher,
     supervisor,
     view,
+    watch_timing,
     wsgi_app,
     zone_health,
 )
@@ -61,8 +62,6 @@
 # for a replica whose store entry was removed before it reported draining.
 DRAIN_FALLBACK_SHARE = 0.25
 LAPSED_FALLBACK_SHARE = 0.85
-# A host answers watches of other hosts unless it missed more than one probe's reply.
-MAX_RELAY_VIEW_AGE_PROBES = 2.2
 GC_THRESHOLD_OBJECTS = 50_000
 
 Headers = Mapping[str, str]
@@ -215,8 +214,8 @@
         )
         self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
         self._store_probe.set_interval(max_apply_delay_s)
-        self._store_relay.max_view_age_s = (
-            MAX_RELAY_VIEW_AGE_PROBES * self._store_probe.interval_s
+        self._store_relay.max_view_age_s = self._store_watcher.timing.get_max_age_s(
+            watch_timing.Source.STORE_FOR_AGGREGATOR
         )
         if bounds.warmup is not None:
             self._shared.rate_limits.cold.excess = bounds.warmup.excess
--- a/corianderrill/gateway/store_probe.py
+++ b/corianderrill/gateway/store_probe.py
@@ -1,9 +1,13 @@
 """Probes the platform's store while a watch of it is open.
 
-A watch that is open looks the same whether nothing changes, the store has fallen
-silent or come back from an older copy, or only the watch's connection is dead. Cheap
-reads of the store's revision on another connection tell these apart. A watch that will
-not be answered is interrupted, and the watcher opens the next one on a new connection.
+A watch that is open looks the same whether nothing changes or the store has fallen
+silent. Cheap reads of the store's revision on another connection tell these apart
+before the reply to the watch is due. Such a read may be stale: it shows that the store
+answers, and at most that a revision exists which the watch should have returned. A
+watch that will not be answered is interrupted, and the watcher opens the next one on a
+new connection.
+
+Watches that an aggregator answers are not probed: their replies are due as soon.
 """
 
 import dataclasses
@@ -17,17 +21,12 @@
 # A probe is due when nothing was heard from the store for this share of the time within
 # which a host has to apply a change.
 PROBE_INTERVAL_RATIO = 0.4
-# Probes of an aggregator cost the store nothing, and a change may have been delayed at
-# the aggregator already.
-RELAY_INTERVAL_FACTOR = 0.5
 # Largest random reduction of an interval, as a share of it, so that the probes of many
 # hosts spread out.
 PROBE_INTERVAL_JITTER = 0.2
 # The reply to a watch may arrive this much later than the reply to a probe that shows a
 # newer revision.
 WATCH_REPLY_GRACE_S = 0.5
-# The read at startup may be stale, so the first watch is probed as soon as it is open.
-FIRST_PROBE_INTERVAL_S = 0.03
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,40 +50,32 @@
 
     def compute_delay(self, now: float) -> float:
         """Return the time until the next probe may be due, in seconds."""
-        if not self.watcher.view.was_confirmed():
-            return FIRST_PROBE_INTERVAL_S
-        interval_s = self._get_interval_s()
-        interval_s *= 1.0 - PROBE_INTERVAL_JITTER * self.rng.random()
+        jitter = PROBE_INTERVAL_JITTER * self.rng.random()
+        interval_s = (1.0 - jitter) * self.interval_s
         if not self._is_watching():
             return interval_s
         return max(self.watcher.last_reply_at + interval_s - now, 0.0)
 
-    def _get_interval_s(self) -> float:
-        is_relayed = self.watcher.watched_client is not self.watcher.client
-        return (
-            RELAY_INTERVAL_FACTOR * self.interval_s if is_relayed else self.interval_s
-        )
-
     def _is_watching(self) -> bool:
         watcher = self.watcher
-        return watcher.watching_since is not None and watcher.outage_started_at is None
+        is_relayed = watcher.watched_client is not watcher.client
+        is_open = watcher.watching_since is not None and not is_relayed
+        return is_open and watcher.outage_started_at is None
 
     def _is_due(self, now: float) -> bool:
         if not self._is_watching():
             return False
-        if not self.watcher.view.was_confirmed():
-            return True
-        min_silent_s = (1.0 - PROBE_INTERVAL_JITTER) * self._get_interval_s()
+        min_silent_s = (1.0 - PROBE_INTERVAL_JITTER) * self.interval_s
         return now - self.watcher.last_reply_at >= min_silent_s
 
     def check(self) -> None:
         """Probe the store now and interrupt the watch if it will not be answered."""
         watcher = self.watcher
         watching_since = watcher.watching_since
-        if watching_since is None:
+        if not self._is_watching():
             return
         try:
-            reply = watcher.watched_client.probe_revision()
+            reply = watcher.client.probe_revision()
         except store.StoreError as error:
             if watcher.watching_since == watching_since:
                 watcher.interrupt(error)
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -2,19 +2,22 @@
 
 The watcher reads all keys once, then sends long-poll watches from the revision it
 has reached. It reads all keys again when the store no longer has the history, or when
-the era of a reply tells that the store has come back from an older copy. A watch that
-gets no reply is interrupted by `store_probe`.
+the era of a reply tells that the store has come back from an older copy. `watch_timing`
+decides when the reply to a watch is missing; `store_probe` interrupts a watch sooner
+when the store does not answer at all.
+
+Only replies that the store does not allow to be stale confirm the view.
 
 Where an aggregator of the zone answers watches, the watcher sends them there, and to
 the store when no aggregator does.
 """
 
 import dataclasses
+import functools
 import random
 from collections.abc import Callable
 
 import eventlet
-from eventlet import greenthread
 
 from corianderrill import names
 from corianderrill.gateway import (
@@ -23,17 +26,17 @@
     evacuation_records,
     event_log,
     loop,
+    open_watch,
     pools,
     quarantine,
     rate_limits,
     store_changes,
+    store_eras,
     view,
+    watch_timing,
 )
 from corianderrill.platform import store
 
-WATCH_WAIT_S = 25.0
-# A short first watch after a failure detects early that the store has recovered.
-WATCH_WAIT_AFTER_FAILURE_S = 0.5
 # The delay before the next watch, as a ratio of the time within which a host has to
 # apply a change. With it, one call returns several changes that follow each other
 # quickly. The ratio grows with the number of hosts that watch the store.
@@ -48,16 +51,16 @@
 # In an outage shorter than this, no registration lapses. After a longer one, removals
 # are not trusted for `view.RECOVERY_GRACE_S`.
 MIN_LAPSE_OUTAGE_S = 0.8
-# For so long replies of an earlier era may come late. A store that names nothing else
-# after that counts its eras anew.
-MAX_OUTDATED_S = 10.0
 ALL_KEYS_PREFIX = ""
+# After so many watches in a row that failed, the store may answer none.
+MIN_FAILED_WATCHES = 2
 
-# The next call is to be like the one that failed; after others all keys are read.
+# The changes since the revision are asked for again; after others all keys are read.
 _KEEPS_REVISION = (
     store.FailureKind.UNREACHABLE,
     store.FailureKind.BUSY,
     store.FailureKind.OUTDATED,
+    store.FailureKind.SILENT,
 )
 
 
@@ -66,10 +69,9 @@
     """Keeps the view of one host current with the store.
 
     `revision` is the revision, in `era`, up to which changes are applied.
-    `outage_started_at`, `last_reply_at` and `watching_since` are times of `clock`; the
-    first is the time of the last reply before the outage, the last is None unless a
-    watch is open.
-    `watched_client` is the client that the open watch, or the last one, was sent with.
+    `outage_started_at` and `last_reply_at` are times of `clock`; the first is the time
+    of the last reply before the outage. `watched_client` is the client that the open
+    watch, or the last one, was sent with.
     """
 
     client: store.StoreClient
@@ -82,21 +84,24 @@
     rng: random.Random
     history: change_history.ChangeHistory
     quarantine: quarantine.Quarantine
+    timing: watch_timing.WatchTiming = dataclasses.field(
+        default_factory=watch_timing.WatchTiming
+    )
     batch_delay_s: float = 0.5
     min_batch_delay_s: float = 0.5
     clock: Callable[[], float] = loop.read_clock
     revision: view.StoreRevision = view.StoreRevision(0)
     outage_started_at: float | None = None
     last_reply_at: float = 0.0
-    watching_since: float | None = None
     watched_client: store.StoreClient | None = None
     _consecutive_failures: int = 0
-    # When the first of the replies came that name an earlier era, with none of this era
-    # since.
-    _outdated_since: float | None = None
-    # Whether the store answered a probe, but not the watch that followed.
-    _are_watches_failing: bool = False
-    _watch_thread: greenthread.GreenThread | None = None
+    _eras: store_eras.EraMonitor = dataclasses.field(
+        default_factory=store_eras.EraMonitor
+    )
+    # Watches of the store that failed since one was answered.
+    _failed_watches: int = 0
+    _relay: aggregators.Aggregator | None = None
+    _open_watch: open_watch.OpenWatch = dataclasses.field(init=False)
     _changes: store_changes.StoreChanges = dataclasses.field(init=False)
     _relay_clients: dict[names.Address, store.StoreClient] = dataclasses.field(
         default_factory=dict
@@ -107,7 +112,13 @@
         """The era of `revision`."""
         return self._changes.era
 
+    @property
+    def watching_since(self) -> float | None:
+        """When the open watch was sent, a time of `clock`; None unless one is open."""
+        return self._open_watch.opened_at
+
     def __post_init__(self) -> None:
+        self._open_watch = open_watch.OpenWatch(self.clock)
         self._changes = store_changes.StoreChanges(
             self.view, self.aggregators, self.limits, self.quarantine, self.log
         )
@@ -124,6 +135,7 @@
         )
         self.batch_delay_s = ratio * max_apply_delay_s
         self.min_batch_delay_s = BATCH_DELAY_RATIO * max_apply_delay_s
+        self.timing.max_apply_delay_s = max_apply_delay_s
 
     def run(self) -> None:
         """Read all keys and watch for changes; return only by an unexpected error."""
@@ -138,28 +150,31 @@
             except store.StoreError as error:
                 is_current = is_current and error.kind in _KEEPS_REVISION
                 self._handle_failure(error)
-                is_current = is_current and not self.is_era_lower_for_good()
+                is_lower = self._eras.is_lower_for_good(self.clock())
+                is_current = is_current and not is_lower
 
     def _read_all(self) -> None:
         """Read all keys and remove the replicas that have no entry.
 
-        The first watch starts at the oldest revision of the pages that were read, so
-        it returns all changes made meanwhile.
+        The next watch starts at the oldest revision of the pages that were read, so it
+        returns all changes made meanwhile.
         """
         # Only the read at startup may be stale. The first watch returns the newer
-        # changes.
+        # changes at once, and confirms the view.
         allow_stale = not self.revision
         batch = self.client.read_range(ALL_KEYS_PREFIX, None, allow_stale)
         era = batch.era
         self._refuse_outdated(era)
-        self._record_success(is_current=not allow_stale)
+        self._record_reply()
+        if not allow_stale:
+            self.view.confirm(self.clock())
         oldest_revision = batch.revision
         items = list(batch.items)
         while batch.has_more and batch.items:
             last_key = batch.items[-1].key
             batch = self.client.read_range(ALL_KEYS_PREFIX, last_key, allow_stale)
             if batch.era != era:
-                raise _describe_era(batch.era, era)
+                raise store_eras.describe_era(batch.era, era)
             oldest_revision = min(oldest_revision, batch.revision)
             items += batch.items
         now = self.clock()
@@ -172,12 +187,14 @@
 
     def _watch_once(self) -> None:
         now = self.clock()
-        relay = self.aggregators.select_relay(self.zone, now, self.rng)
+        relay = self.aggregators.select_relay(self.zone, now, self.rng, self._relay)
+        self._relay = relay
         if relay is None:
             self._watch_store()
             return
+        source = watch_timing.Source.AGGREGATOR
         try:
-            batch = self._wait_for_changes(self._get_relay_client(relay), WATCH_WAIT_S)
+            reply = self._wait_for_changes(self._get_relay_client(relay), source)
         except store.StoreError as error:
             if error.kind is store.FailureKind.RESTORED:
                 raise
@@ -193,7 +210,7 @@
                 )
             )
             return
-        self._apply_batch(batch)
+        self._apply_reply(reply)
 
     def _get_relay_client(self, relay: aggregators.Aggregator) -> store.StoreClient:
         client = self._relay_clients.get(relay.address)
@@ -204,84 +221,104 @@
         return client
 
     def _watch_store(self) -> None:
-        wait_s = WATCH_WAIT_S
-        if self.outage_started_at is not None:
-            # A probe is cheaper than a watch that fails. Its reply may be old.
-            probe = self.client.probe_revision()
-            if probe.era > self.era:
-                raise _describe_era(probe.era, self.era)
-            if self._are_watches_failing and probe.revision > self.revision:
+        if self._failed_watches >= MIN_FAILED_WATCHES:
+            if self._has_newer_revision():
                 self._read_all()
+                self._failed_watches = MIN_FAILED_WATCHES - 1
                 return
-            # Until a watch succeeds, for the store has answered just now.
-            self._are_watches_failing = True
-            wait_s = WATCH_WAIT_AFTER_FAILURE_S
-        batch = self._wait_for_changes(self.client, wait_s)
-        self._are_watches_failing = False
-        self._apply_batch(batch)
-        if 0 < len(batch.items) < MIN_BACKLOG_CHANGES:
-            # Few hosts are aggregators, and what one reads late reaches others later.
-            is_relay = self.aggregators.is_aggregator()
-            eventlet.sleep(self.min_batch_delay_s if is_relay else self.batch_delay_s)
-
-    def _apply_batch(self, batch: store.Batch) -> None:
-        self._record_success(is_current=True)
+        elif self.outage_started_at is not None:
+            self._probe_after_failure()
+        # Few hosts are aggregators, and what one reads late reaches others later.
+        is_aggregator = self.aggregators.is_aggregator()
+        source = (
+            watch_timing.Source.STORE_FOR_AGGREGATOR
+            if is_aggregator
+            else watch_timing.Source.STORE
+        )
+        self._failed_watches += 1
+        reply = self._wait_for_changes(self.client, source)
+        self._failed_watches = 0
+        self._apply_reply(reply)
+        if 0 < len(reply.changes.items) < MIN_BACKLOG_CHANGES:
+            delay_s = self.min_batch_delay_s if is_aggregator else self.batch_delay_s
+            eventlet.sleep(delay_s)
+
+    def _probe_after_failure(self) -> None:
+        """Raise StoreError while the store is away.
+
+        A probe is cheaper than a watch that fails. Its reply may be stale.
+        """
+        probe = self.client.probe_revision()
+        if probe.era > self.era:
+            raise store_eras.describe_era(probe.era, self.era)
+
+    def _has_newer_revision(self) -> bool:
+        """Return whether the store has changes that no watch has returned.
+
+        If it has none, its reply confirms the view.
+        """
+        # If this fails as well, the store is away, and probes are cheaper.
+        self._failed_watches = 0
+        reply = self.client.read_revision()
+        self._failed_watches = MIN_FAILED_WATCHES
+        self._check_era(reply.era)
+        self.last_reply_at = self.clock()
+        if reply.revision > self.revision:
+            return True
+        self.view.confirm(self.last_reply_at)
+        return False
+
+    def _apply_reply(self, reply: open_watch.WatchReply) -> None:
+        self._record_reply()
         now = self.clock()
-        self.view.distrust_removals(now + batch.removals_untrusted_s)
-        self._changes.apply(batch.items, now)
-        self.revision = view.StoreRevision(max(self.revision, batch.revision))
-        self.history.append(batch.items, self.revision)
-        if batch.items:
+        changes = reply.changes
+        self.view.distrust_removals(now + changes.removals_untrusted_s)
+        self._changes.apply(changes.items, now)
+        self.revision = view.StoreRevision(max(self.revision, changes.revision))
+        self.history.append(changes.items, self.revision)
+        self.view.confirm(reply.complete_at)
+        if changes.items:
             self._retain_pools()
 
     def _wait_for_changes(
-        self, client: store.StoreClient, wait_s: float
-    ) -> store.Batch:
-        self.watching_since = self.clock()
+        self, client: store.StoreClient, source: watch_timing.Source
+    ) -> open_watch.WatchReply:
         self.watched_client = client
-        self._watch_thread = eventlet.spawn(self._watch, client, wait_s)
-        try:
-            result = self._watch_thread.wait()
-        finally:
-            self._watch_thread = None
-            self.watching_since = None
-        if isinstance(result, store.StoreError):
-            raise result
-        self._check_era(result.era)
-        return result
-
-    def _watch(
-        self, client: store.StoreClient, wait_s: float
-    ) -> store.Batch | store.StoreError:
-        """Return an error instead of raising it; eventlet would print a traceback."""
-        try:
-            if client is self.client:
-                return client.watch(ALL_KEYS_PREFIX, self.revision, wait_s)
-            return client.watch_relay(self.revision, self.era, wait_s)
-        except store.StoreError as error:
-            return error
+        terms = self.timing.compute_terms(source, self.view.get_age_s(self.clock()))
+        call = self._call_store if client is self.client else self._call_relay
+        reply = self._open_watch.wait(functools.partial(call, client), terms)
+        self._check_era(reply.changes.era)
+        return reply
+
+    def _call_store(
+        self, client: store.StoreClient, terms: watch_timing.WatchTerms
+    ) -> store.Batch:
+        return client.watch(
+            ALL_KEYS_PREFIX, self.revision, terms.wait_s, terms.timeout_s
+        )
+
+    def _call_relay(
+        self, client: store.StoreClient, terms: watch_timing.WatchTerms
+    ) -> store.Batch:
+        return client.watch_relay(
+            self.revision, self.era, terms.wait_s, terms.timeout_s
+        )
 
     def interrupt(self, error: store.StoreError) -> None:
         """End the open watch, if any, with an error; its connection is closed."""
-        if self._watch_thread is not None:
-            self._watch_thread.kill(store.StoreError, error, None)
+        self._open_watch.interrupt(error)
 
     def record_probe(self, reply: store.Batch) -> None:
-        """Record a reply to a probe: the store is at its revision or a later one."""
+        """Record a reply that may be stale: it shows that the store answers."""
         self.last_reply_at = self.clock()
-        self._note_era(reply.era)
-        if self.is_era_lower_for_good():
-            self.interrupt(_describe_era(reply.era, self.era))
-        if reply.era == self.era and reply.revision <= self.revision:
-            self.view.confirmed_at = self.last_reply_at
-
-    def _record_success(self, is_current: bool) -> None:
-        """Record a reply; `is_current` unless the store allowed it to be stale."""
+        self._record_era(reply.era)
+        if self._eras.is_lower_for_good(self.last_reply_at):
+            self.interrupt(store_eras.describe_era(reply.era, self.era))
+
+    def _record_reply(self) -> None:
         now = self.clock()
         self._consecutive_failures = 0
-        self._outdated_since = None
-        if is_current:
-            self.view.confirmed_at = now
+        self._eras.clear()
         self.last_reply_at = now
         if self.outage_started_at is None:
             return
@@ -293,27 +330,19 @@
             event_log.StoreReturned(round(1000 * outage_s), self.revision, self.era)
         )
 
+    def _record_era(self, era: view.StoreEra) -> None:
+        self._eras.record(era, self.era, self.clock())
+
     def _check_era(self, era: view.StoreEra) -> None:
         """Raise StoreError if a reply has revisions of another era than this host."""
-        self._note_era(era)
+        self._record_era(era)
         if era != self.era:
-            raise _describe_era(era, self.era)
+            raise store_eras.describe_era(era, self.era)
 
     def _refuse_outdated(self, era: view.StoreEra) -> None:
-        self._note_era(era)
-        if era < self.era and not self.is_era_lower_for_good():
-            raise _describe_era(era, self.era)
-
-    def _note_era(self, era: view.StoreEra) -> None:
-        if era >= self.era:
-            self._outdated_since = None
-        elif self._outdated_since is None:
-            self._outdated_since = self.clock()
-
-    def is_era_lower_for_good(self) -> bool:
-        """Return whether the store has named nothing but earlier eras for long."""
-        since = self._outdated_since
-        return since is not None and self.clock() - since >= MAX_OUTDATED_S
+        self._record_era(era)
+        if era < self.era and not self._eras.is_lower_for_good(self.clock()):
+            raise store_eras.describe_era(era, self.era)
 
     def _enter_era(self, era: view.StoreEra, now: float) -> bool:
         """Go on in the era of the keys that were read; return whether it is a new one.
@@ -371,9 +400,3 @@
     def drop_expired(self) -> None:
         """Drop what was kept for a limited time after it left the store."""
         self._changes.drop_expired(self.revision, self.clock())
-
-
-def _describe_era(era: view.StoreEra, expected: view.StoreEra) -> store.StoreError:
-    """Return the error of a reply whose revisions are of another era."""
-    kind = store.FailureKind.RESTORED if era > expected else store.FailureKind.OUTDATED
-    return store.StoreError(kind, f"the reply is of era {era}, not {expected}")
--- a/corianderrill/gateway/view.py
+++ b/corianderrill/gateway/view.py
@@ -73,9 +73,9 @@
     time for a replica that registered as draining. `lapsed_fallback_s` is this time for
     a replica whose entry was removed although it never registered as draining; it may
     register again soon. A removal that is read before `removals_untrusted_until` may be
-    caused by a store outage. `confirmed_at` is when the store last showed that the view
-    has all changes; for `max_unconfirmed_s` after that, the view counts as current.
-    `era_since` is when this host first read the store in its present era.
+    caused by a store outage. `confirmed_at` is the latest time at which the view is
+    known to have had all changes; for `max_unconfirmed_s` after that, the view counts
+    as current. `era_since` is when this host first read the store in its present era.
 
     Times are in seconds of the host's monotonic clock.
     """
@@ -109,6 +109,10 @@
         self.configuration = configuration
         return UpdateOutcome.APPLIED
 
+    def confirm(self, at: float) -> None:
+        """Record that the view had all changes of the store at a time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
     def was_confirmed(self) -> bool:
         """Return whether the store ever confirmed the view."""
         return math.isfinite(self.confirmed_at)
--- a/corianderrill/gateway/watch_timing.py
+++ b/corianderrill/gateway/watch_timing.py
@@ -1,8 +1,8 @@
 """Decides how long a watch may wait and when it counts as dead.
 
 A watch that will never be answered looks like one with nothing to report. Each watch
-therefore returns before the view is too old, with changes or without: the reply confirms
-the view, and a reply that is missing shows that the watch is dead.
+therefore returns before the view is too old, with changes or without: the reply
+confirms the view, and a reply that is missing shows that the watch is dead.
 
 Times are in seconds; `max_apply_delay_s` is the time within which a host has to apply a
 change.
@@ -11,7 +11,10 @@
 import dataclasses
 import enum
 
+# How long after its wait the reply to a watch may come, as a ratio of the time within
+# which a host has to apply a change.
 MARGIN_RATIO = 0.2
+AGGREGATOR_MARGIN_RATIO = 0.15
 # A slow store answers within this time.
 MAX_MARGIN_S = 0.6
 # A watch that does not wait returns what has changed so far.
@@ -45,9 +48,11 @@
 
     max_apply_delay_s: float = 3.0
 
-    def get_margin_s(self) -> float:
+    def get_margin_s(self, source: Source) -> float:
         """Return how long after its wait the reply to a watch may come."""
-        return min(MARGIN_RATIO * self.max_apply_delay_s, MAX_MARGIN_S)
+        is_store = source is not Source.AGGREGATOR
+        ratio = MARGIN_RATIO if is_store else AGGREGATOR_MARGIN_RATIO
+        return min(ratio * self.max_apply_delay_s, MAX_MARGIN_S)
 
     def get_interval_s(self, source: Source) -> float:
         """Return the time between the replies of a source."""
@@ -55,7 +60,7 @@
 
     def get_max_age_s(self, source: Source) -> float:
         """Return the age of a view above which a reply is missing."""
-        return self.get_interval_s(source) + self.get_margin_s()
+        return self.get_interval_s(source) + self.get_margin_s(source)
 
     def compute_terms(self, source: Source, view_age_s: float) -> WatchTerms:
         """Return the terms of the next watch; the age is infinite for a new host."""
@@ -66,4 +71,4 @@
                 wait_s = interval_s
             case _:
                 wait_s = max(interval_s - view_age_s, MIN_WAIT_S)
-        return WatchTerms(wait_s, wait_s + self.get_margin_s())
+        return WatchTerms(wait_s, wait_s + self.get_margin_s(source))
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -28,8 +28,6 @@
 PROBE_TIMEOUT_S = 1.0
 # A page or a watch holds about 1 MB; base64 and field names add to that.
 MAX_BODY_BYTES = 16 * 1_048_576
-# Added to the time that the store may hold a watch open, for the read timeout.
-WATCH_TIMEOUT_MARGIN_S = 2.0
 # TCP keep-alive probes detect a dead connection within three seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -63,8 +61,7 @@
 
     HISTORY_LOST means that the store has compacted the revision that a watch asked for,
     RESTORED that it has come back from an older copy since, and OUTDATED that the reply
-    is from before it came back. SILENT means that a watch got no reply, though the
-    store answers other calls and has changes.
+    is from before it came back. SILENT means that a watch got no reply in time.
     """
 
     UNREACHABLE = "unreachable"
@@ -201,9 +198,15 @@
         """Return the store's revision and era, which may be seconds old, and no items.
 
         The call shows whether the store answers, at a tenth of the cost of a current
-        read.
+        read, and nothing about what has changed.
         """
-        query = {"prefix": EMPTY_PREFIX, "serializable": "1"}
+        return self._read_revision({"prefix": EMPTY_PREFIX, "serializable": "1"})
+
+    def read_revision(self) -> Batch:
+        """Return the store's current revision and era, and no items."""
+        return self._read_revision({"prefix": EMPTY_PREFIX})
+
+    def _read_revision(self, query: dict[str, str]) -> Batch:
         reply = self._get(RANGE_PATH, query, PROBE_TIMEOUT_S)
         page = self._decode(_RANGE_DECODER, reply.body)
         return Batch((), view.StoreRevision(page.at), reply.era)
@@ -348,22 +351,38 @@
         _check_lease_era(lease, reply)
         return revision
 
-    def watch(self, prefix: str, after: view.StoreRevision, wait_s: float) -> Batch:
-        """Wait up to `wait_s` for changes of keys with a prefix after a revision."""
-        return self._watch({"prefix": prefix, "after": str(after)}, wait_s)
+    def watch(
+        self, prefix: str, after: view.StoreRevision, wait_s: float, timeout_s: float
+    ) -> Batch:
+        """Wait up to `wait_s` for changes of keys with a prefix after a revision.
+
+        Raise StoreError of kind SILENT if no reply comes within `timeout_s`.
+        """
+        return self._watch({"prefix": prefix, "after": str(after)}, wait_s, timeout_s)
 
     def watch_relay(
-        self, after: view.StoreRevision, era: view.StoreEra, wait_s: float
+        self,
+        after: view.StoreRevision,
+        era: view.StoreEra,
+        wait_s: float,
+        timeout_s: float,
     ) -> Batch:
         """Wait for changes at an aggregator that answers in place of the store.
 
         It has to know the era of the revision, which the store itself is not told.
         """
-        return self._watch({"after": str(after), ERA_FIELD: str(era)}, wait_s)
+        query = {"after": str(after), ERA_FIELD: str(era)}
+        return self._watch(query, wait_s, timeout_s)
 
-    def _watch(self, query: dict[str, str], wait_s: float) -> Batch:
+    def _watch(self, query: dict[str, str], wait_s: float, timeout_s: float) -> Batch:
         query["wait_ms"] = str(int(1000 * wait_s))
-        reply = self._get(WATCH_PATH, query, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        try:
+            reply = self._get(WATCH_PATH, query, timeout_s)
+        except StoreError as error:
+            if isinstance(error.__cause__, urllib3.exceptions.ReadTimeoutError):
+                detail = f"no reply to a watch in {timeout_s:.2f} s"
+                raise StoreError(FailureKind.SILENT, detail) from error
+            raise
         changes = self._decode(_WATCH_DECODER, reply.body)
         return Batch(
             tuple(map(_decode_item, changes.events)),
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -19,6 +19,7 @@
 from eventlet import event, wsgi
 
 from corianderrill import names
+from corianderrill.standins import store_versions
 
 MAX_PAGE_ITEMS = 50
 MAX_HISTORY_ITEMS = 2_000
@@ -177,7 +178,8 @@
     open then never are. After `compact_history`, watches from an earlier revision get
     status 410. After
     `snapshot_for_stale_reads`, range reads that allow stale data are answered from the
-    snapshot, with the era of that time. `restore` begins a new `era` from what
+    snapshot, with the era of that time. After `delay_stale_reads` they are answered
+    from what the store held some seconds ago. `restore` begins a new `era` from what
     `take_copy` returned, and gives out its later revisions and leases again.
     """
 
@@ -200,6 +202,7 @@
         self._compacted_revision = 0
         self._stale_snapshot: tuple[dict[str, _Change], int, int] | None = None
         self.stale_read_count = 0
+        self._versions = store_versions.StoreVersions()
         self._change_event = event.Event()
         super().__init__()
 
@@ -208,6 +211,7 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
         self._items[key] = _Change(key, self.revision, data)
+        self._versions.keep(self._items, self.revision, self.era)
         self._append_to_history(self._items[key])
         return self.revision
 
@@ -215,6 +219,7 @@
         """Remove a key."""
         self.revision += 1
         self._items.pop(key, None)
+        self._versions.keep(self._items, self.revision, self.era)
         self._append_to_history(_Change(key, self.revision, None))
         return self.revision
 
@@ -249,6 +254,7 @@
         self._lease_ends = {}
         for lease in self._lease_ttls:
             self._restart_lease(lease)
+        self._versions.keep(self._items, self.revision, self.era)
         self._notify_watchers()
 
     def fall_silent(self) -> None:
@@ -264,6 +270,13 @@
         """Take a snapshot of the store; all later stale reads are answered from it."""
         self._stale_snapshot = dict(self._items), self.revision, self.era
 
+    def delay_stale_reads(self, age_s: float) -> None:
+        """Answer stale reads from what the store held `age_s` ago; 0 ends that."""
+        if age_s:
+            self._versions.begin(age_s, self._items, self.revision, self.era)
+        else:
+            self._versions.end()
+
     def compact_history(self) -> None:
         """Delete the history, so that watchers have to read all keys again."""
         self._history.clear()
@@ -379,6 +392,9 @@
         if query.get("serializable") == "1":
             self.stale_read_count += 1
             items, revision, era = self._stale_snapshot or (items, revision, era)
+            version = self._versions.find_stale()
+            if version is not None:
+                items, revision, era = version.items, version.revision, version.era
         keys = sorted(k for k in items if k.startswith(prefix) and k > after)
         page = [items[key].to_wire() for key in keys[:MAX_PAGE_ITEMS]]
         has_more = len(keys) > MAX_PAGE_ITEMS
--- a/tests/test_cut_replies.py
+++ b/tests/test_cut_replies.py
@@ -67,7 +67,7 @@
     "write-key": (b"200 OK", b'{"revision":4}', lambda c: c.write_key(KEY, b"", LEASE)),
     "replace-key": (b"412 No", b"{}", lambda c: c.replace_key(KEY, b"a", 3)),
     "range": (b"200 OK", b'{"at":1,"items":[]}', lambda c: c.probe_revision()),
-    "watch": (b"200 OK", b'{"at":1,"events":[]}', lambda c: c.watch("", 1, 0.1)),
+    "watch": (b"200 OK", b'{"at":1,"events":[]}', lambda c: c.watch("", 1, 0.1, 2.1)),
 }
 
 
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -9,20 +9,30 @@
 import eventlet
 import pytest
 
-from corianderrill.gateway import change_history, event_log, store_probe, store_watcher
+from corianderrill.gateway import (
+    change_history,
+    event_log,
+    store_eras,
+    store_probe,
+    store_watcher,
+    watch_timing,
+)
 from corianderrill.platform import store
 from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
 APPLY_DELAY_S = 0.25
 TIMEOUT_S = 5.0
+# Long enough that a held-up test does not count as a late change.
+SLOW_APPLY_DELAY_S = 1.5
 
 
 class FakeClient:
-    """A store client whose watches stay unanswered until a revision is newer.
+    """A store client whose watches end without changes, or tell of a newer revision.
 
     While `is_silent` is set, calls fail after a read timeout. A watch that was opened
-    before `revision` was raised stays unanswered.
+    before `revision` was raised, or while `are_watches_silent` is set, stays without a
+    reply. Stale reads show `stale_revision` unless it is None.
     """
 
     def __init__(self):
@@ -31,6 +41,8 @@
         self.are_watches_silent = False
         self.are_watches_reset = False
         self.era = 1
+        self.stale_revision = None
+        self.are_current_reads_failing = False
         self.watches = []
         self.probe_count = 0
 
@@ -46,9 +58,16 @@
     def probe_revision(self):
         self.probe_count += 1
         self._fail_if_silent()
+        revision = self.stale_revision or self.revision
+        return store.Batch((), revision, self.era)
+
+    def read_revision(self):
+        self._fail_if_silent()
+        if self.are_current_reads_failing:
+            raise store.StoreError(store.FailureKind.UNREACHABLE, "reset")
         return store.Batch((), self.revision, self.era)
 
-    def watch(self, prefix, after, wait_s):
+    def watch(self, prefix, after, wait_s, timeout_s):
         self._fail_if_silent()
         self.watches.append(after)
         if self.are_watches_reset:
@@ -56,11 +75,15 @@
             raise store.StoreError(store.FailureKind.UNREACHABLE, "reset")
         if self.are_watches_silent:
             # One long sleep: a loop would outlast the test.
+            eventlet.sleep(timeout_s)
+            raise store.StoreError(store.FailureKind.SILENT, "no reply")
+        revision = self.revision
+        if after >= revision:
             eventlet.sleep(wait_s)
-            raise store.StoreError(store.FailureKind.UNREACHABLE, "no reply")
-        if after >= self.revision:
-            eventlet.sleep(wait_s)
-        return store.Batch((), self.revision, self.era)
+        if self.revision != revision:
+            eventlet.sleep(timeout_s - wait_s)
+            raise store.StoreError(store.FailureKind.SILENT, "no reply")
+        return store.Batch((), revision, self.era)
 
 
 class FakePools:
@@ -71,7 +94,7 @@
 class Watched:
     """A running watcher and its probe against a fake store client."""
 
-    def __init__(self):
+    def __init__(self, apply_delay_s=APPLY_DELAY_S):
         self.client = FakeClient()
         self.log = fake_stores.RecordingLog()
         self.view = builders.build_view()
@@ -89,8 +112,9 @@
             builders.build_quarantine(),
             batch_delay_s=0.0,
         )
+        self.watcher.timing.max_apply_delay_s = apply_delay_s
         self.probe = store_probe.StoreProbe(self.watcher, rng)
-        self.probe.set_interval(APPLY_DELAY_S)
+        self.probe.set_interval(apply_delay_s)
         self.threads = [
             eventlet.spawn(self.watcher.run),
             eventlet.spawn(self.probe.run),
@@ -119,6 +143,15 @@
     running.stop()
 
 
+@pytest.fixture
+def slowly_watched():
+    running = Watched(SLOW_APPLY_DELAY_S)
+    running.wait_until(running.view.was_confirmed)
+    running.wait_until_watching()
+    yield running
+    running.stop()
+
+
 def test_store_that_falls_silent_is_noticed_and_the_age_of_its_last_reply_logged(
     watched,
 ):
@@ -165,17 +198,88 @@
         watched.wait_until(lambda: watched.watcher.revision == watched.client.revision)
 
 
-def test_watch_without_changes_stays_open_while_the_store_answers_probes(watched):
-    watch_count = len(watched.client.watches)
+# Guards against an outage that is none: the store has nothing to tell.
+def test_store_without_changes_is_watched_on_while_it_answers_probes(watched):
     probe_count = watched.client.probe_count
     watched.wait_until(lambda: watched.client.probe_count >= probe_count + 3)
-    assert len(watched.client.watches) == watch_count
     assert not watched.log.list_of(event_log.StoreLost)
+    assert not watched.log.list_of(event_log.WatchSilent)
+    assert set(watched.client.watches) == {5}
+
+
+# Guards against watches that follow each other as fast as they are answered.
+def test_watches_without_changes_follow_each_other_at_the_interval(watched):
+    watch_count = len(watched.client.watches)
+    source = watch_timing.Source.STORE
+    interval_s = watched.watcher.timing.get_interval_s(source)
+    eventlet.sleep(5 * interval_s)
+    assert len(watched.client.watches) - watch_count <= 6
+
+
+def test_watch_that_ends_without_changes_confirms_the_view(watched):
+    confirmed_at = watched.view.confirmed_at
+    watched.wait_until(lambda: watched.view.confirmed_at > confirmed_at)
+
+
+# Guards against a view that stale reads confirm: they show that the store answers.
+def test_probe_of_an_answering_store_confirms_nothing(watched):
+    watched.client.are_watches_silent = True
+    watched.client.are_current_reads_failing = True
+    watched.wait_until(lambda: watched.log.list_of(event_log.WatchSilent))
+    confirmed_at = watched.view.confirmed_at
+    probe_count = watched.client.probe_count
+    watched.wait_until(lambda: watched.client.probe_count >= probe_count + 3)
+    assert watched.view.confirmed_at == confirmed_at
+
+
+# Guards against hosts that stay at one version while stale reads show that version.
+def test_changes_arrive_in_time_while_no_watch_is_answered_and_probes_are_old(
+    slowly_watched,
+):
+    slowly_watched.client.are_watches_silent = True
+    slowly_watched.client.stale_revision = slowly_watched.client.revision
+    for _ in range(2):
+        slowly_watched.client.revision += 1
+        changed_at = slowly_watched.watcher.clock()
+        slowly_watched.wait_until(
+            lambda: slowly_watched.watcher.revision == slowly_watched.client.revision
+        )
+        assert slowly_watched.watcher.clock() - changed_at <= SLOW_APPLY_DELAY_S
+
+
+def test_change_of_a_lost_reply_arrives_in_time_while_probes_are_old(
+    slowly_watched,
+):
+    for _ in range(2):
+        slowly_watched.wait_until_watching()
+        slowly_watched.client.stale_revision = slowly_watched.client.revision
+        slowly_watched.client.revision += 1
+        changed_at = slowly_watched.watcher.clock()
+        slowly_watched.wait_until(
+            lambda: slowly_watched.watcher.revision == slowly_watched.client.revision
+        )
+        assert slowly_watched.watcher.clock() - changed_at <= SLOW_APPLY_DELAY_S
 
 
-def test_probe_of_an_answering_store_confirms_the_view(watched):
+def test_current_reads_confirm_the_view_while_no_watch_is_answered(watched):
+    watched.client.are_watches_silent = True
+    watched.wait_until(lambda: watched.log.list_of(event_log.WatchSilent))
     confirmed_at = watched.view.confirmed_at
     watched.wait_until(lambda: watched.view.confirmed_at > confirmed_at)
+    assert not watched.log.list_of(event_log.StoreLost)
+
+
+# Guards against a view that the first, cheap call after an outage confirms.
+def test_probe_after_an_outage_confirms_nothing(watched):
+    watched.client.is_silent = True
+    watched.wait_until(lambda: watched.log.list_of(event_log.StoreLost))
+    confirmed_at = watched.view.confirmed_at
+    watched.client.are_watches_silent = True
+    watched.client.are_current_reads_failing = True
+    watched.client.is_silent = False
+    probe_count = watched.client.probe_count
+    watched.wait_until(lambda: watched.client.probe_count >= probe_count + 3)
+    assert watched.view.confirmed_at == confirmed_at
 
 
 def test_view_is_no_longer_current_when_the_store_stays_silent(watched):
@@ -214,7 +318,7 @@
 # Guards against hosts that stay at one version for good, since a store that began to
 # count its eras anew is taken for one that is late.
 def test_store_whose_era_stays_lower_is_followed_after_a_while(watched, monkeypatch):
-    monkeypatch.setattr(store_watcher, "MAX_OUTDATED_S", 0.3)
+    monkeypatch.setattr(store_eras, "MAX_OUTDATED_S", 0.3)
     watched.client.era, watched.client.revision = 3, 8
     watched.wait_until(lambda: watched.watcher.era == 3)
     watched.client.era, watched.client.revision = 1, 20
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -17,7 +17,7 @@
     def __init__(self, *change_counts):
         self.counts = list(change_counts)
 
-    def watch(self, prefix, after, wait_s):
+    def watch(self, prefix, after, wait_s, timeout_s):
         count = self.counts.pop(0)
         items = tuple(
             store.Item(store.Key(f"servers/i-{number}"), after + number + 1, None)
--- a/tests/test_gateway_watched_demand.py
+++ b/tests/test_gateway_watched_demand.py
@@ -31,7 +31,7 @@
     def read_range(self, prefix, after, allow_stale=False):
         return self.batches.pop(0)
 
-    def watch(self, prefix, after, wait_s):
+    def watch(self, prefix, after, wait_s, timeout_s):
         return self.batches.pop(0)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,10 +28,12 @@
     faults.Kind.REPLICA_CUT,
     faults.Kind.STORE_CUT,
 )
+STALE_KINDS = (faults.Kind.STORE_STALE, faults.Kind.STORE_REPLY_DROPPED)
 LATER_KINDS = (
     *(*MUTED_KINDS, faults.Kind.REPLICA_LIMITED, *INCIDENT_KINDS),
     *REVIEW_KINDS,
     *CUT_KINDS,
+    *STALE_KINDS,
 )
 FIRST_KINDS = tuple(kind for kind in faults.Kind if kind not in LATER_KINDS)
 
@@ -120,3 +122,13 @@
     broken = [b for b in report.broken if b.check in (*TIMELESS, "losses")]
     assert broken == []
     assert all(report.faults.get(kind.value) for kind in CUT_KINDS)
+
+
+# Guards against hosts that take stale reads for the present state of the store: what a
+# reply told of that was lost has to be in force in time.
+def test_gateways_follow_the_operator_while_replies_are_lost_and_reads_stale(tmp_path):
+    kinds = (*STALE_KINDS, faults.Kind.PUBLISHED, faults.Kind.REPLICA_REPLACED)
+    report = soak.run(1, 3 * SECONDS, SIZE, tmp_path, kinds)
+    broken = [b for b in report.broken if b.check in (*TIMELESS, "routes", "draining")]
+    assert broken == []
+    assert all(report.faults.get(kind.value) for kind in STALE_KINDS)
