Confirm the view by a read of all keys once all of its pages are applied

Cause: the first page of a current read confirmed the view before anything was applied. If a later page failed, the old view counted as current, and an aggregator answered other hosts from it.

test_read_of_all_keys_that_fails_midway_confirms_nothing failed before.

--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -166,8 +166,7 @@
         era = batch.era
         self._refuse_outdated(era)
         self._record_reply()
-        if not allow_stale:
-            self.view.confirm(self.clock())
+        read_at = self.clock()
         oldest_revision = batch.revision
         items = list(batch.items)
         while batch.has_more and batch.items:
@@ -183,6 +182,8 @@
         self._changes.remove_unlisted(items, oldest_revision, now, is_restored)
         self.revision = oldest_revision
         self.history.restart(oldest_revision, era)
+        if not allow_stale:
+            self.view.confirm(read_at)
         self._retain_pools()
 
     def _watch_once(self) -> None:
--- a/tests/test_gateway_view_age.py
+++ b/tests/test_gateway_view_age.py
@@ -87,6 +87,10 @@
     return Clock()
 
 
+def build_item(revision):
+    return store.Item(store.Key(f"servers/i-{revision}"), revision, b"v")
+
+
 # Guards against a host that takes part as current on the word of a stale first read.
 def test_first_read_confirms_nothing_and_the_watch_after_it_does_not_wait(clock):
     watcher = build_watcher(clock, store.Batch((), 5), store.Batch((), 5))
@@ -97,6 +101,25 @@
     assert watcher.view.get_age_s(clock()) == pytest.approx(0.0)
 
 
+def test_read_of_all_keys_confirms_the_view_from_its_first_page_on(clock):
+    pages = (store.Batch((build_item(8),), 9, has_more=True), store.Batch((), 9))
+    watcher = build_watcher(clock, *pages)
+    watcher.revision = 5
+    watcher._read_all()
+    assert watcher.view.get_age_s(clock()) == pytest.approx(1.0)
+
+
+# Guards against a view that counts as current though no page of it was applied.
+def test_read_of_all_keys_that_fails_midway_confirms_nothing(clock):
+    failure = store.StoreError(store.FailureKind.UNREACHABLE, "reset")
+    page = store.Batch((build_item(8),), 9, has_more=True)
+    watcher = build_watcher(clock, page, failure)
+    watcher.revision = 5
+    with pytest.raises(store.StoreError):
+        watcher._read_all()
+    assert not watcher.view.was_confirmed()
+
+
 def test_wait_of_a_watch_is_what_is_left_of_the_interval(clock):
     watcher = build_watcher(clock, *(store.Batch((), 5) for _ in range(2)))
     watcher.revision = 5
