Replies of an aggregator tell the age of its view, and ages add up

Cause: an aggregator answered watches until the store had confirmed nothing for 0.88 of the time in which a change has to apply, and the host behind it took each answer for one of now.

Change: a reply in place of the store tells the age of the view that it comes from, and the host counts its own from there.

test_reply_of_an_aggregator_is_as_old_as_its_view and test_age_of_an_aggregators_view_reaches_the_host_behind_it failed before.

--- a/corianderrill/gateway/open_watch.py
+++ b/corianderrill/gateway/open_watch.py
@@ -51,7 +51,7 @@
         if not result.items:
             # A process that was frozen may read the reply late.
             complete_at = min(complete_at, opened_at + terms.wait_s)
-        return WatchReply(result, complete_at)
+        return WatchReply(result, complete_at - result.age_s)
 
     def interrupt(self, error: store.StoreError) -> None:
         """End the open watch, if any, with an error; its connection is closed."""
--- a/corianderrill/gateway/store_relay.py
+++ b/corianderrill/gateway/store_relay.py
@@ -15,7 +15,8 @@
 class StoreRelay:
     """Answers from the changes that this host has applied, while its view is current.
 
-    Each answer names the era of its revisions; a host of another era gets it at once.
+    Each answer names the era of its revisions, and the age of the view; a host of
+    another era gets it at once.
 
     `max_view_age_s` is how long ago the store may have confirmed the view.
     """
@@ -63,7 +64,11 @@
         return self._is_current() and is_same_era and self.history.has_all_since(after)
 
     def _encode(self, changes: list[store.Item]) -> bytes:
-        untrusted_s = self.view.removals_untrusted_until - self.clock()
+        now = self.clock()
+        untrusted_s = self.view.removals_untrusted_until - now
         return relay_messages.encode_reply(
-            changes, self.history.revision, max(untrusted_s, 0.0)
+            changes,
+            self.history.revision,
+            max(untrusted_s, 0.0),
+            self.view.get_age_s(now),
         )
--- a/corianderrill/platform/relay_messages.py
+++ b/corianderrill/platform/relay_messages.py
@@ -43,15 +43,22 @@
 
 
 def encode_reply(
-    changes: list[store.Item], revision: view.StoreRevision, removals_untrusted_s: float
+    changes: list[store.Item],
+    revision: view.StoreRevision,
+    removals_untrusted_s: float,
+    view_age_s: float,
 ) -> bytes:
-    """Return the reply to a probe or a watch of another host."""
+    """Return the reply to a probe or a watch of another host.
+
+    `view_age_s` is the time since these were known to be all changes, in seconds.
+    """
     return msgspec.json.encode(
         {
             "items": [],
             "events": [_encode_item(item) for item in changes],
             "at": revision,
             "removals_untrusted_ms": round(1000 * removals_untrusted_s),
+            "view_age_ms": round(1000 * view_age_s),
         }
     )
 
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -105,7 +105,8 @@
     """The items of a range read, or the changes of a watch, up to `revision`.
 
     For `removals_untrusted_s` more, removals may be the effect of a store outage that
-    another host has noticed. `era` is the one of the revisions.
+    another host has noticed. `era` is the one of the revisions. `age_s` is the time
+    since the host that answers knew these to be all changes; 0 if the store answers.
     """
 
     items: tuple[Item, ...]
@@ -113,6 +114,7 @@
     era: view.StoreEra = view.StoreEra(0)
     has_more: bool = False
     removals_untrusted_s: float = 0.0
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +156,7 @@
     at: decoding.Integer
     # Set by an aggregator that answers in place of the store.
     removals_untrusted_ms: float = 0.0
+    view_age_ms: float = 0.0
 
 
 _ITEM_DECODER = msgspec.json.Decoder(_WireItem)
@@ -389,6 +392,7 @@
             view.StoreRevision(changes.at),
             reply.era,
             removals_untrusted_s=changes.removals_untrusted_ms / 1000,
+            age_s=max(changes.view_age_ms, 0.0) / 1000,
         )
 
     def close(self) -> None:
--- a/tests/test_gateway_view_age.py
+++ b/tests/test_gateway_view_age.py
@@ -11,10 +11,12 @@
 from corianderrill.gateway import (
     change_history,
     open_watch,
+    store_relay,
     store_watcher,
     watch_timing,
 )
 from corianderrill.platform import store
+from corianderrill.standins import platform
 from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
@@ -141,6 +143,17 @@
     assert clock() - reply.complete_at == pytest.approx(18.5)
 
 
+# Guards against a host that takes an aggregator's answer for one of now.
+def test_reply_of_an_aggregator_is_as_old_as_its_view(clock):
+    watcher = build_watcher(clock)
+    reply = store.Batch((build_item(6),), 6, age_s=2.0)
+    watched = open_watch.OpenWatch(clock).wait(
+        lambda terms: reply, watch_timing.WatchTerms(1.0, 1.5)
+    )
+    watcher._apply_reply(watched)
+    assert watcher.view.get_age_s(clock()) == pytest.approx(2.0)
+
+
 def test_older_word_does_not_make_the_view_older(clock):
     watcher = build_watcher(clock)
     watcher.view.confirm(clock())
@@ -148,6 +161,34 @@
     assert watcher.view.get_age_s(clock()) == pytest.approx(0.0)
 
 
+class RelayServer(platform.LoopbackServer):
+    """Answers the calls of a host as an aggregator does."""
+
+    def __init__(self, relay):
+        self._relay = relay
+        super().__init__()
+
+    def handle_request(self, environ):
+        body = self._relay.answer(environ["PATH_INFO"], environ["QUERY_STRING"])
+        return ("200 OK", {}, body) if body else ("503 Busy", {}, b"")
+
+
+def test_age_of_an_aggregators_view_reaches_the_host_behind_it(clock):
+    view = builders.build_view()
+    view.confirm(clock() - 1.5)
+    history = change_history.ChangeHistory()
+    history.restart(10, 0)
+    relay = store_relay.StoreRelay(history, view, clock, max_view_age_s=2.0)
+    server = RelayServer(relay)
+    client = store.StoreClient(server.address)
+    try:
+        reply = client.watch_relay(10, 0, 0.01, 1.0)
+    finally:
+        client.close()
+        server.stop()
+    assert reply.age_s == pytest.approx(1.5)
+
+
 @pytest.mark.parametrize("apply_delay_s", APPLY_DELAYS_S)
 @pytest.mark.parametrize(
     "hops", [(Source.STORE,), (Source.STORE_FOR_AGGREGATOR, Source.AGGREGATOR)]
