A stale listing does not keep a slot vacant that is known to be vacant

Cause: before it takes a slot, a host lists the slots by a read that may be stale. A listing from before the holder left, or before the store came back from an older copy, named the holder that the host's own watch had seen leave: the host waited 3 s and listed again. A slot with quotas is without a lessor for that time.

Change: the listing counts for a slot only if it is of the same era or a later one, and not older than the change by which the slot became vacant.

test_listing_from_before_the_slot_was_vacant_does_not_keep_it_vacant fails, in both of its cases, without that comparison.

--- a/corianderrill/gateway/aggregator_role.py
+++ b/corianderrill/gateway/aggregator_role.py
@@ -283,12 +283,8 @@
             if self.scope is Scope.OWN_ZONE
             else documents.AGGREGATOR_KEY_PREFIX
         )
-        held_keys = self.client.list_keys(prefix)
-        vacant = [
-            key
-            for key in self._list_vacant()
-            if documents.format_aggregator_key(key) not in held_keys
-        ]
+        listing = self.client.list_keys(prefix)
+        vacant = [key for key in self._list_vacant() if not self._is_held(key, listing)]
         if not vacant:
             self.sleep(RETRY_DELAY_S)
             return
@@ -298,6 +294,17 @@
         )
         self._take_slot(candidate)
 
+    def _is_held(self, key: aggregators.SlotKey, listing: store.KeyList) -> bool:
+        """Return whether a slot that was seen to be vacant has been taken since.
+
+        The listing may be stale, and then be from before the slot was vacant.
+        """
+        is_newer = (
+            listing.era >= self.directory.era
+            and listing.revision >= self.directory.get_revision(key)
+        )
+        return is_newer and documents.format_aggregator_key(key) in listing.keys
+
     def _take_slot(self, candidate: aggregators.Aggregator) -> None:
         """Take a slot, unless the store shows that another host holds it."""
         sent_at = self.clock()
--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -68,6 +68,8 @@
     # Whether the holders of slots take queries and relay store calls. On small sites,
     # they are quota lessors only.
     has_aggregators: bool = True
+    # The era of the store that the revisions below are of.
+    era: int = 0
     _holders: dict[SlotKey, Aggregator | None] = dataclasses.field(default_factory=dict)
     _revisions: dict[SlotKey, int] = dataclasses.field(default_factory=dict)
     _health: dict[names.Address, _Health] = dataclasses.field(default_factory=dict)
@@ -86,8 +88,9 @@
             self._relay_health.pop(holder.address, None)
         return True
 
-    def enter_era(self) -> None:
+    def enter_era(self, era: int) -> None:
         """Take any revision for a new one, since the store counts them anew."""
+        self.era = era
         self._revisions.clear()
 
     def list_keys(self) -> set[SlotKey]:
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -45,7 +45,7 @@
         self.era = era
         self.quarantine.enter_era(now)
         self.view.enter_era(now)
-        self.aggregators.enter_era()
+        self.aggregators.enter_era(era)
         self.limits.directory.enter_era()
 
     def apply(self, items: Iterable[store.Item], now: float) -> None:
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -117,6 +117,15 @@
     age_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyList:
+    """The keys with a prefix that the store had at a revision of an era."""
+
+    keys: frozenset[Key]
+    revision: view.StoreRevision
+    era: view.StoreEra
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reply:
     """The body of a reply, None if its status says no, and the era that it names."""
@@ -214,9 +223,12 @@
         page = self._decode(_RANGE_DECODER, reply.body)
         return Batch((), view.StoreRevision(page.at), reply.era)
 
-    def list_keys(self, prefix: str) -> set[Key]:
+    def list_keys(self, prefix: str) -> KeyList:
         """Return the keys with a prefix; the read may be seconds old."""
-        return {item.key for item in self.read_range(prefix, None, True).items}
+        page = self.read_range(prefix, None, allow_stale=True)
+        return KeyList(
+            frozenset(item.key for item in page.items), page.revision, page.era
+        )
 
     def grant_lease(self, ttl_s: float) -> Lease:
         """Return a new lease that ends after `ttl_s` unless it is renewed."""
--- a/tests/test_gateway_aggregator_role.py
+++ b/tests/test_gateway_aggregator_role.py
@@ -73,6 +73,29 @@
     assert third.held is None
 
 
+# Guards against a slot that stays vacant for seconds: a stale listing names the holder
+# that has left, as the host knows by its watch.
+@pytest.mark.parametrize(
+    ("listed_at", "era"), [(9, 1), (99, 0)], ids=["older-revision", "earlier-era"]
+)
+def test_listing_from_before_the_slot_was_vacant_does_not_keep_it_vacant(
+    listed_at, era
+):
+    client = fake_stores.LeaseClient()
+    role = build_role(client)
+    role.directory.enter_era(1)
+    for slot in range(aggregators.SLOTS_PER_ZONE):
+        key = aggregators.SlotKey(builders.ZONE, aggregators.Slot(slot))
+        role.directory.apply(key, None, 12)
+    listed = frozenset(
+        documents.format_aggregator_key(aggregators.SlotKey(builders.ZONE, slot))
+        for slot in range(aggregators.SLOTS_PER_ZONE)
+    )
+    client.list_keys = lambda prefix: store.KeyList(listed, listed_at, era)
+    role._step()
+    assert role.held is not None
+
+
 def test_host_whose_lease_has_ended_no_longer_holds_the_slot():
     role = build_role()
     role._step()
--- a/tests/utils/fake_stores.py
+++ b/tests/utils/fake_stores.py
@@ -11,6 +11,7 @@
         self.leases = set()
         self.is_down = False
         self.era = 0
+        self.revision = 10
         self.write_count = 0
         self._granted = 0
 
@@ -20,7 +21,8 @@
 
     def list_keys(self, prefix):
         self._check()
-        return {key for key in self.keys if key.startswith(prefix)}
+        keys = frozenset(key for key in self.keys if key.startswith(prefix))
+        return store.KeyList(keys, self.revision, self.era)
 
     def grant_lease(self, ttl_s):
         self._check()
