--- a/benchmarks/gateways/changes.py
+++ b/benchmarks/gateways/changes.py
@@ -37,7 +37,7 @@
     records,
     servers,
 )
-from corianderrill.standins import platform  # noqa: E402
+from corianderrill.standins import platform, platform_servers  # noqa: E402
 
 SERVICES = tuple(f"service-{number}" for number in range(6))
 REPLICAS = 3
@@ -102,7 +102,7 @@
         return values | {"statuses": dict(self.statuses), "stale": dict(self.stale)}
 
 
-class Replica(platform.FakeBackendServer):
+class Replica(platform_servers.FakeBackendServer):
     """A replica that knows when it left; `report` counts what reaches it too late."""
 
     left_at: float | None = None
--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -10,7 +10,7 @@
 from benchmarks import ports, processes
 from benchmarks.gateways import callers, checks, links, records
 from corianderrill import names
-from corianderrill.standins import platform
+from corianderrill.standins import host_settings
 
 READY_WITHIN_S = 60.0
 ZONES = ("zone-a", "zone-b")
@@ -41,7 +41,7 @@
         self._file = directory / f"{self.name}.toml"
         self._log = directory / f"{self.name}.log"
         self._errors = directory / f"{self.name}.err"
-        self._text = platform.HostSettingsFile(
+        self._text = host_settings.HostSettingsFile(
             name=self.name,
             zone=ZONES[number % len(ZONES)],
             listen_address=str(front),
--- a/benchmarks/gateways/servers.py
+++ b/benchmarks/gateways/servers.py
@@ -11,7 +11,7 @@
 import eventlet
 
 from benchmarks.gateways import links, records
-from corianderrill.standins import platform
+from corianderrill.standins import loopback, platform_servers
 
 SERVICE_S = 0.012
 SLOW_S = 0.4
@@ -59,7 +59,7 @@
     )
 
 
-class Server(platform.FakeBackendServer):
+class Server(platform_servers.FakeBackendServer):
     """One replica behind a link of its own, which is what it registers."""
 
     def __init__(
@@ -75,7 +75,7 @@
         self._history = history
         self._rng = rng
 
-    def handle_request(self, environ: dict[str, Any]) -> platform.HttpResponse:
+    def handle_request(self, environ: dict[str, Any]) -> loopback.HttpResponse:
         """Run a request, refuse it or fail, and note it."""
         arrival = records.Arrival(
             id=records.RequestId(environ["HTTP_X_REQUEST_ID"]),
@@ -105,7 +105,7 @@
         eventlet.sleep(SLOW_S if is_slow else SERVICE_S * self._rng.uniform(0.5, 2))
         return self._finish(arrival, body)
 
-    def _ask_for_pause(self, arrival: records.Arrival) -> platform.HttpResponse:
+    def _ask_for_pause(self, arrival: records.Arrival) -> loopback.HttpResponse:
         now = time.monotonic()
         noticed = records.Noticed(arrival.replica, arrival.id, now, now + PAUSE_S)
         self._history.noticed.append(noticed)
@@ -115,7 +115,7 @@
 
     def _refuse_twice(
         self, arrival: records.Arrival, environ: dict[str, Any]
-    ) -> platform.HttpResponse:
+    ) -> loopback.HttpResponse:
         """Refuse a request, and send the refusal again a moment later.
 
         The second one names no request at times.
@@ -141,7 +141,7 @@
         start_response("200 OK", list(headers.items()))
         return itertools.repeat(ENDLESS_PIECE)
 
-    def _finish(self, arrival: records.Arrival, body: bytes) -> platform.HttpResponse:
+    def _finish(self, arrival: records.Arrival, body: bytes) -> loopback.HttpResponse:
         headers = {
             "X-Request-Id": str(arrival.id),
             "X-Server-Stamp": arrival.signature,
--- a/corianderrill/standins/platform.py
+++ b/corianderrill/standins/platform.py
@@ -1,140 +1,26 @@
-"""Fakes of the users' platform: its store, and backend servers that register there.
+"""A fake of the key-value store of the users' platform.
 
-Both implement the part of the platform's protocol that the gateway uses. Tests and
-benchmarks change their state while they run.
+It implements the part of the platform's protocol that the gateway uses. Tests and
+benchmarks change its state while they run.
 """
 
 import base64
 import dataclasses
-import itertools
 import json
-import os
 import socket
-import time
 import urllib.parse
-from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import eventlet
-from eventlet import event, wsgi
+from eventlet import event
 
-from corianderrill import names
-from corianderrill.standins import store_versions
+from corianderrill.standins import loopback, store_versions
 
 MAX_PAGE_ITEMS = 50
 MAX_HISTORY_ITEMS = 2_000
 MAX_WATCH_CHANGES = 500
-KEEP_ALIVE_TIMEOUT_S = 5.0
 SILENT_WATCH_POLL_S = 0.05
 
-HttpResponse = tuple[str, dict[str, str], bytes]
-
-_SETTINGS = """
-node_name = "{name}"
-zone = "{zone}"
-port_range = {port_range}
-[listen]
-front = "{listen_address}"
-ready_addr = "{readiness_address}"
-[bounds]
-drain_ms = {drain_ms}
-grace_s = {grace_s}
-config_apply_ms = {config_apply_ms}
-retry_ratio = {retry_ratio}
-retry_slack = {retry_slack}
-{bound_lines}
-[zones]
-{zone_lines}
-[limits]
-cpu_share = {cpu_share}
-cores = 1
-{limit_lines}
-[platform]
-address = "{store_address}"
-"""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HostSettingsFile:
-    """The values of a settings file that the platform writes for one host.
-
-    `more_bounds` and `more_limits` are further fields of these sections.
-    """
-
-    name: str
-    zone: str
-    listen_address: str
-    readiness_address: str
-    store_address: str
-    drain_ms: int
-    grace_s: int
-    config_apply_ms: int
-    retry_ratio: float
-    retry_slack: int
-    port_range: list[int] = dataclasses.field(default_factory=list)
-    cpu_share: float = 1.0
-    zones: tuple[str, ...] = ()
-    more_bounds: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    more_limits: Mapping[str, float] = dataclasses.field(default_factory=dict)
-
-    def render(self) -> str:
-        """Return the text of the file."""
-        zone_lines = "\n".join(f'{zone} = "region"' for zone in self.zones)
-        return _SETTINGS.format(
-            **dataclasses.asdict(self),
-            zone_lines=zone_lines,
-            bound_lines=_render_fields(self.more_bounds),
-            limit_lines=_render_fields(self.more_limits),
-        )
-
-
-def _render_fields(fields: Mapping[str, float]) -> str:
-    return "\n".join(f"{name} = {value}" for name, value in fields.items())
-
-
-class _Protocol(wsgi.HttpProtocol):
-    """Keeps the target of a request as it was sent."""
-
-    def get_environ(self) -> dict[str, Any]:
-        environ = super().get_environ()
-        environ["RAW_REQUEST_TARGET"] = self.requestline.split()[1]
-        return environ
-
-
-class LoopbackServer:
-    """A WSGI server on a free port of the loopback address."""
-
-    def __init__(self) -> None:
-        self._listen(("127.0.0.1", 0))
-        self.address = names.Address(*self._listener.getsockname())
-
-    def _listen(self, address: tuple[str, int]) -> None:
-        self._listener = eventlet.listen(address)
-        self._thread = eventlet.spawn(
-            wsgi.server,
-            self._listener,
-            self._serve,
-            log=wsgi.LoggerNull(),
-            log_output=False,
-            debug=False,
-            keepalive=KEEP_ALIVE_TIMEOUT_S,
-            protocol=_Protocol,
-        )
-
-    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        status, headers, body = self.handle_request(environ)
-        start_response(status, [*headers.items(), ("Content-Length", str(len(body)))])
-        return [body]
-
-    def handle_request(self, environ: dict[str, Any]) -> HttpResponse:
-        """Return the status line, headers and body of the response."""
-        raise NotImplementedError
-
-    def stop(self) -> None:
-        """Stop the server and close its listening socket."""
-        self._thread.kill()
-        self._listener.close()
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Change:
@@ -169,7 +55,7 @@
     last_lease: int
 
 
-class FakeStore(LoopbackServer):
+class FakeStore(loopback.LoopbackServer):
     """A key-value store with revisions, leases, paged reads and long-poll watches.
 
     While `is_down` is set, all calls get status 503; while `is_resetting` is set, their
@@ -291,7 +177,7 @@
         previous_event, self._change_event = self._change_event, event.Event()
         previous_event.send()
 
-    def handle_request(self, environ: dict[str, Any]) -> HttpResponse:
+    def handle_request(self, environ: dict[str, Any]) -> loopback.HttpResponse:
         """Answer a call of the store client, unless the store falls silent."""
         if self.is_resetting:
             environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
@@ -303,7 +189,7 @@
         status, headers, body = response
         return status, {"Store-Era": str(self.era), **headers}, body
 
-    def _answer(self, environ: dict[str, Any]) -> HttpResponse:
+    def _answer(self, environ: dict[str, Any]) -> loopback.HttpResponse:
         self.call_count += 1
         if self.is_down:
             return "503 Service Unavailable", {}, b""
@@ -327,7 +213,7 @@
                 return self._end_lease(int(number))
         return "404 Not Found", {}, b""
 
-    def _grant_lease(self, document: dict[str, Any]) -> HttpResponse:
+    def _grant_lease(self, document: dict[str, Any]) -> loopback.HttpResponse:
         self._last_lease += 1
         lease = self._last_lease
         self._lease_ttls[lease] = document["ttl_ms"] / 1000
@@ -341,13 +227,13 @@
             self._lease_ttls[lease], self._end_lease, lease
         )
 
-    def _keep_lease(self, lease: int) -> HttpResponse:
+    def _keep_lease(self, lease: int) -> loopback.HttpResponse:
         if lease not in self._lease_ends:
             return "404 Not Found", {}, b""
         self._restart_lease(lease)
         return self._build_reply({"ttl_ms": round(1000 * self._lease_ttls[lease])})
 
-    def _end_lease(self, lease: int) -> HttpResponse:
+    def _end_lease(self, lease: int) -> loopback.HttpResponse:
         ending = self._lease_ends.pop(lease, None)
         if ending is None:
             return "404 Not Found", {}, b""
@@ -357,7 +243,7 @@
             self.remove(key)
         return self._build_reply({})
 
-    def _write(self, document: dict[str, Any]) -> HttpResponse:
+    def _write(self, document: dict[str, Any]) -> loopback.HttpResponse:
         for row in document["expected_rev"]:
             current = self._items.get(row["key"])
             if (0 if current is None else current.revision) != row["revision"]:
@@ -374,11 +260,11 @@
             self.put(row["key"], base64.b64decode(row["value"]))
         return self._build_reply({"revision": self.revision})
 
-    def _build_reply(self, document: dict[str, Any]) -> HttpResponse:
+    def _build_reply(self, document: dict[str, Any]) -> loopback.HttpResponse:
         body = json.dumps({"at": self.revision, **document}).encode()
         return "200 OK", {"Content-Type": "application/json"}, body
 
-    def _get_key(self, key: str) -> HttpResponse:
+    def _get_key(self, key: str) -> loopback.HttpResponse:
         item = self._items.get(key)
         if item is None:
             return "404 Not Found", {}, b""
@@ -386,7 +272,7 @@
             {**item.to_wire(), "lease": self._lease_by_key.get(key, 0)}
         )
 
-    def _list_range(self, query: dict[str, str]) -> HttpResponse:
+    def _list_range(self, query: dict[str, str]) -> loopback.HttpResponse:
         prefix, after = query.get("prefix", ""), query.get("after", "")
         items, revision, era = self._items, self.revision, self.era
         if query.get("serializable") == "1":
@@ -403,11 +289,11 @@
         )
         return status, {**headers, "Store-Era": str(era)}, body
 
-    def _build_watch_reply(self, changes: list[_Change]) -> HttpResponse:
+    def _build_watch_reply(self, changes: list[_Change]) -> loopback.HttpResponse:
         events = [change.to_wire() for change in changes]
         return self._build_reply({"events": events, "at": changes[-1].revision})
 
-    def _watch(self, query: dict[str, str]) -> HttpResponse:
+    def _watch(self, query: dict[str, str]) -> loopback.HttpResponse:
         self.watch_count += 1
         while self.are_watches_silent:
             eventlet.sleep(SILENT_WATCH_POLL_S)
@@ -431,76 +317,3 @@
 
 def _read_json(environ: dict[str, Any]) -> dict[str, Any]:
     return json.loads(environ["wsgi.input"].read())
-
-
-class FakeBackendServer(LoopbackServer):
-    """A backend server that replies with its records, or else echoes the body.
-
-    `delay_s` is the processing time of each request, `status` the status of replies.
-    `rate_limit` is the limit that replies advertise, in requests a second of all hosts.
-    While `is_leaving` is set, replies say that the server leaves. `warmup_left_ms` is
-    in its registration, and in its replies unless it is None.
-    """
-
-    _numbers = itertools.count(1)
-
-    def __init__(self, service: str, zone: str, records: Sequence[bytes] = ()) -> None:
-        self.id = f"i-{os.getpid()}-{next(self._numbers)}"
-        self.service = service
-        self.zone = zone
-        self.records = records
-        self.delay_s = 0.0
-        self.status = "200 OK"
-        self.rate_limit: float | None = None
-        self.is_leaving = False
-        self.warmup_left_ms: int | None = None
-        self.started_at_ms = round(1000 * time.time())
-        self._write_count = 0
-        self.requests: list[str] = []
-        # By request id, as they were sent.
-        self.targets: dict[str, str] = {}
-        # By request id; the WSGI names of headers.
-        self.headers: dict[str, dict[str, str]] = {}
-        super().__init__()
-
-    def register(self, store: FakeStore, state: str = "ready") -> None:
-        """Write the registration of this server to the store."""
-        self._write_count += 1
-        entry = {
-            "service": self.service,
-            "address": str(self.address),
-            "zone": self.zone,
-            "version": "v1",
-            "capacity": 4,
-            "state": state,
-            "warmup_left_ms": self.warmup_left_ms or 0,
-            "seq_no": self._write_count,
-            "born": self.started_at_ms,
-        }
-        store.put(f"servers/{self.id}", entry)
-
-    def handle_request(self, environ: dict[str, Any]) -> HttpResponse:
-        """Execute a request, or reply 421 if it is for another server."""
-        expected = environ.get("HTTP_X_EXPECT_INSTANCE")
-        request_id = environ["HTTP_X_REQUEST_ID"]
-        if expected is not None and expected != self.id:
-            headers = {"X-Request-Id": request_id, "X-Instance-Id": self.id}
-            return "421 Misdirected Request", headers, b""
-        body = environ["wsgi.input"].read()
-        self.requests.append(request_id)
-        self.targets[request_id] = environ["RAW_REQUEST_TARGET"]
-        self.headers[request_id] = {
-            name: value for name, value in environ.items() if name.startswith("HTTP_")
-        }
-        eventlet.sleep(self.delay_s)
-        headers = {
-            "X-Request-Id": request_id,
-            "X-Server-Stamp": f"{self.id}.{request_id}",
-        }
-        if self.rate_limit is not None:
-            headers["Server-Limit"] = str(self.rate_limit)
-        if self.is_leaving:
-            headers["Server-Leaving"] = "1"
-        if self.warmup_left_ms is not None:
-            headers["X-Warmup-Ms"] = str(self.warmup_left_ms)
-        return self.status, headers, b"".join(self.records) or body or b"done"
--- a/corianderrill/standins/store_addresses.py
+++ b/corianderrill/standins/store_addresses.py
@@ -4,10 +4,10 @@
 
 from eventlet import event
 
-from corianderrill.standins import platform
+from corianderrill.standins import loopback, platform
 
 
-class StoreAddress(platform.LoopbackServer):
+class StoreAddress(loopback.LoopbackServer):
     """An address of a store at which replies can be lost, and at others not.
 
     A call whose reply is lost is carried out. Its connection stays open and returns
@@ -29,7 +29,7 @@
         """Send the replies that are due from now on."""
         self._is_losing = False
 
-    def handle_request(self, environ: dict[str, Any]) -> platform.HttpResponse:
+    def handle_request(self, environ: dict[str, Any]) -> loopback.HttpResponse:
         """Answer a call as the store does, unless its reply is lost."""
         response = self._store.handle_request(environ)
         path = environ["PATH_INFO"]
--- a/tests/test_gateway_cold_processes.py
+++ b/tests/test_gateway_cold_processes.py
@@ -10,7 +10,7 @@
 import eventlet
 import pytest
 
-from corianderrill.standins import platform
+from corianderrill.standins import platform_servers
 from tests.utils import cold_hosts, gateway_rig
 
 LIMIT_PER_S = 6.0
@@ -18,7 +18,7 @@
 COLD_S = 3.0
 
 
-class TimedServer(platform.FakeBackendServer):
+class TimedServer(platform_servers.FakeBackendServer):
     """A server that keeps the times of its requests."""
 
     def __init__(self, *arguments):
--- a/tests/test_gateway_evacuation_processes.py
+++ b/tests/test_gateway_evacuation_processes.py
@@ -11,7 +11,7 @@
 import eventlet
 import pytest
 
-from corianderrill.standins import platform
+from corianderrill.standins import platform_servers
 from tests.utils import gateway_rig
 
 KEY = "op/evacuate/zone-a"
@@ -79,7 +79,7 @@
 # Guards against a batch delay that is longer than the time for an evacuation, and
 # against a zone that gets all its requests again at once.
 def test_evacuation_is_in_force_in_time_and_its_end_is_gradual(rig):
-    elsewhere = platform.FakeBackendServer("single", "zone-b")
+    elsewhere = platform_servers.FakeBackendServer("single", "zone-b")
     elsewhere.register(rig.store)
     callers = Callers(rig)
     usual = count_arrivals(rig.single_server, 1.0)
--- a/tests/test_gateway_outages.py
+++ b/tests/test_gateway_outages.py
@@ -11,7 +11,7 @@
 import eventlet
 import pytest
 
-from corianderrill.standins import platform
+from corianderrill.standins import platform_servers
 from tests.utils import gateway_rig
 
 OUTAGE_S = 1.5
@@ -42,7 +42,7 @@
         self.context = gateway_rig.run(directory)
         self.rig = self.context.__enter__()
         self.old_server = self.rig.single_server
-        self.new_server = platform.FakeBackendServer("single", "zone-a")
+        self.new_server = platform_servers.FakeBackendServer("single", "zone-a")
 
     def stop(self):
         self.new_server.stop()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -9,7 +9,7 @@
 import pytest
 from eventlet import wsgi
 
-from corianderrill.standins import platform
+from corianderrill.standins import platform, platform_servers
 from tests.utils import gateway_rig
 
 # The answer of 1.5 MB below then ends within the grace of a stop, but late in it.
@@ -145,7 +145,7 @@
 
 
 def test_draining_replica_gets_no_requests_while_another_is_ready(rig):
-    other = platform.FakeBackendServer("single", "zone-b")
+    other = platform_servers.FakeBackendServer("single", "zone-b")
     try:
         other.register(rig.store)
         rig.single_server.register(rig.store, state="draining")
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -11,7 +11,7 @@
 import pytest
 
 from benchmarks.gateways import links
-from corianderrill.standins import platform
+from corianderrill.standins import platform_servers
 from tests.utils import aggregator_zones, gateway_rig
 
 OUTAGE_S = 1.0
@@ -80,7 +80,7 @@
     old.register(restored.store)
     restored.catch_up()
     restored.restore()
-    fresh = platform.FakeBackendServer("single", "zone-a")
+    fresh = platform_servers.FakeBackendServer("single", "zone-a")
     fresh.register(restored.store)
     old.register(restored.store, state="draining")
     restored.rig.publish_configuration(version=900, single={"prefix": "/new/"})
--- a/tests/test_gateway_view_age.py
+++ b/tests/test_gateway_view_age.py
@@ -16,7 +16,7 @@
     watch_timing,
 )
 from corianderrill.platform import store
-from corianderrill.standins import platform
+from corianderrill.standins import loopback
 from tests.utils import fake_stores
 from tests.utils import gateway_builders as builders
 
@@ -161,7 +161,7 @@
     assert watcher.view.get_age_s(clock()) == pytest.approx(0.0)
 
 
-class RelayServer(platform.LoopbackServer):
+class RelayServer(loopback.LoopbackServer):
     """Answers the calls of a host as an aggregator does."""
 
     def __init__(self, relay):
--- a/tests/utils/crashing_servers.py
+++ b/tests/utils/crashing_servers.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from corianderrill.standins import platform
+from corianderrill.standins import platform_servers
 
 CRASH_PATH = "/single/crash"
 CRASH_QUERY_PATH = "/gather/crash"
@@ -20,7 +20,7 @@
     request_id: str
 
 
-class CrashingServer(platform.FakeBackendServer):
+class CrashingServer(platform_servers.FakeBackendServer):
     """A replica that ends under `CRASH_PATH`, and is back as another instance.
 
     `runs` are those that ended it. `ends_with` is the path under which it ends.
--- a/tests/utils/gateway_rig.py
+++ b/tests/utils/gateway_rig.py
@@ -10,7 +10,7 @@
 import eventlet
 from eventlet.green import subprocess
 
-from corianderrill.standins import platform
+from corianderrill.standins import host_settings, loopback, platform, platform_servers
 from tests.utils import processes
 
 TIMEOUT_S = 30.0
@@ -54,7 +54,7 @@
     return document if tenants is None else {**document, "tenants": tenants}
 
 
-class Alias(platform.LoopbackServer):
+class Alias(loopback.LoopbackServer):
     """Another address of a server; `paths` are those of its requests."""
 
     def __init__(self, server):
@@ -87,7 +87,7 @@
             "retry_ratio": 0.2,
             "retry_slack": 58,
         }
-        file = platform.HostSettingsFile(name=name, **{**defaults, **settings})
+        file = host_settings.HostSettingsFile(name=name, **{**defaults, **settings})
         self.settings_path.write_text(file.render())
         self.store_address = str(store_address)
         self.process = None
@@ -168,10 +168,12 @@
     def __init__(self, directory, **settings):
         self.store = platform.FakeStore()
         self.shard_servers = [
-            platform.FakeBackendServer(name, "zone-a", [bytes([65 + index]) * 16] * 2)
+            platform_servers.FakeBackendServer(
+                name, "zone-a", [bytes([65 + index]) * 16] * 2
+            )
             for index, name in enumerate(SHARDS)
         ]
-        self.single_server = platform.FakeBackendServer("single", "zone-a")
+        self.single_server = platform_servers.FakeBackendServer("single", "zone-a")
         self._directory = directory
         self.hosts = []
         self.add_host("front-1", **settings)
