Move the batch delay to the module that decides the times of watches

The batch delay of the test of the delay is now 1.5 s, since a ratio above the largest one cannot be set any more; it asserts the same.

--- a/corianderrill/gateway/process.py
+++ b/corianderrill/gateway/process.py
@@ -212,9 +212,10 @@
         max_apply_delay_s = min(
             bounds.config_apply_s, bounds.drain_s, bounds.evacuate_s or math.inf
         )
-        self._store_watcher.set_batch_delay(max_apply_delay_s, host_count)
+        timing = watch_timing.WatchTiming(max_apply_delay_s, host_count)
+        self._store_watcher.timing = timing
         self._store_probe.set_interval(max_apply_delay_s)
-        self._store_relay.max_view_age_s = self._store_watcher.timing.get_max_age_s(
+        self._store_relay.max_view_age_s = timing.get_max_age_s(
             watch_timing.Source.STORE_FOR_AGGREGATOR
         )
         if bounds.warmup is not None:
@@ -223,10 +224,9 @@
         self._view.max_unconfirmed_s = bounds.config_apply_s
         drain_fallback_s = DRAIN_FALLBACK_SHARE * bounds.drain_s
         # The time counts from the removal of the entry. This host may see the removal
-        # `batch_delay_s` later, so that delay is subtracted.
-        lapsed_fallback_s = (
-            LAPSED_FALLBACK_SHARE * bounds.drain_s - self._store_watcher.batch_delay_s
-        )
+        # later by the batch delay, so that delay is subtracted.
+        batch_delay_s = timing.compute_batch_delay_s(watch_timing.Source.STORE)
+        lapsed_fallback_s = LAPSED_FALLBACK_SHARE * bounds.drain_s - batch_delay_s
         self._view.drain_fallback_s = drain_fallback_s
         self._view.lapsed_fallback_s = max(drain_fallback_s, lapsed_fallback_s)
 
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -37,12 +37,6 @@
 )
 from corianderrill.platform import store
 
-# The delay before the next watch, as a ratio of the time within which a host has to
-# apply a change. With it, one call returns several changes that follow each other
-# quickly. The ratio grows with the number of hosts that watch the store.
-BATCH_DELAY_RATIO = 0.3
-BATCH_DELAY_RATIO_PER_HOST = 0.004
-MAX_BATCH_DELAY_RATIO = 0.55
 # The store limits a watch reply to a few hundred changes. A reply with this many or
 # more may be incomplete, so the next watch is sent without delay.
 MIN_BACKLOG_CHANGES = 100
@@ -87,8 +81,6 @@
     timing: watch_timing.WatchTiming = dataclasses.field(
         default_factory=watch_timing.WatchTiming
     )
-    batch_delay_s: float = 0.5
-    min_batch_delay_s: float = 0.5
     clock: Callable[[], float] = loop.read_clock
     revision: view.StoreRevision = view.StoreRevision(0)
     outage_started_at: float | None = None
@@ -124,19 +116,6 @@
         )
         self.last_reply_at = self.clock()
 
-    def set_batch_delay(self, max_apply_delay_s: float, host_count: float) -> None:
-        """Set the batch delay from the time within which a host has to apply a change.
-
-        `host_count` is the number of hosts that watch the store.
-        """
-        ratio = min(
-            BATCH_DELAY_RATIO + BATCH_DELAY_RATIO_PER_HOST * host_count,
-            MAX_BATCH_DELAY_RATIO,
-        )
-        self.batch_delay_s = ratio * max_apply_delay_s
-        self.min_batch_delay_s = BATCH_DELAY_RATIO * max_apply_delay_s
-        self.timing.max_apply_delay_s = max_apply_delay_s
-
     def run(self) -> None:
         """Read all keys and watch for changes; return only by an unexpected error."""
         is_current = False
@@ -223,17 +202,15 @@
 
     def _watch_store(self) -> None:
         if self._failed_watches >= MIN_FAILED_WATCHES:
-            if self._has_newer_revision():
+            if not self._confirm_by_read():
                 self._read_all()
                 self._failed_watches = MIN_FAILED_WATCHES - 1
                 return
         elif self.outage_started_at is not None:
             self._probe_after_failure()
-        # Few hosts are aggregators, and what one reads late reaches others later.
-        is_aggregator = self.aggregators.is_aggregator()
         source = (
             watch_timing.Source.STORE_FOR_AGGREGATOR
-            if is_aggregator
+            if self.aggregators.is_aggregator()
             else watch_timing.Source.STORE
         )
         self._failed_watches += 1
@@ -241,8 +218,7 @@
         self._failed_watches = 0
         self._apply_reply(reply)
         if 0 < len(reply.changes.items) < MIN_BACKLOG_CHANGES:
-            delay_s = self.min_batch_delay_s if is_aggregator else self.batch_delay_s
-            eventlet.sleep(delay_s)
+            eventlet.sleep(self.timing.compute_batch_delay_s(source))
 
     def _probe_after_failure(self) -> None:
         """Raise StoreError while the store is away.
@@ -253,11 +229,8 @@
         if probe.era > self.era:
             raise store_eras.describe_era(probe.era, self.era)
 
-    def _has_newer_revision(self) -> bool:
-        """Return whether the store has changes that no watch has returned.
-
-        If it has none, its reply confirms the view.
-        """
+    def _confirm_by_read(self) -> bool:
+        """Confirm the view by a current read; return False if it shows changes."""
         # If this fails as well, the store is away, and probes are cheaper.
         self._failed_watches = 0
         reply = self.client.read_revision()
@@ -265,9 +238,9 @@
         self._check_era(reply.era)
         self.last_reply_at = self.clock()
         if reply.revision > self.revision:
-            return True
+            return False
         self.view.confirm(self.last_reply_at)
-        return False
+        return True
 
     def _apply_reply(self, reply: open_watch.WatchReply) -> None:
         self._record_reply()
--- a/corianderrill/gateway/watch_timing.py
+++ b/corianderrill/gateway/watch_timing.py
@@ -19,6 +19,12 @@
 MAX_MARGIN_S = 0.6
 # A watch that does not wait returns what has changed so far.
 MIN_WAIT_S = 0.01
+# The delay before the watch that follows some changes, as a ratio of the time within
+# which a host has to apply one. With it, one call returns several changes that follow
+# each other quickly. The ratio grows with the number of hosts that watch the store.
+BATCH_DELAY_RATIO = 0.3
+BATCH_DELAY_RATIO_PER_HOST = 0.004
+MAX_BATCH_DELAY_RATIO = 0.55
 
 
 class Source(enum.Enum):
@@ -44,9 +50,15 @@
 
 @dataclasses.dataclass(slots=True)
 class WatchTiming:
-    """The times of watches, from the time within which a change has to apply."""
+    """The times of watches, from the time within which a change has to apply.
+
+    `host_count` is the number of hosts that watch the store, `batch_delay_ratio` the
+    batch delay of a single one as a ratio of that time.
+    """
 
     max_apply_delay_s: float = 3.0
+    host_count: float = 0.0
+    batch_delay_ratio: float = BATCH_DELAY_RATIO
 
     def get_margin_s(self, source: Source) -> float:
         """Return how long after its wait the reply to a watch may come."""
@@ -62,6 +74,17 @@
         """Return the age of a view above which a reply is missing."""
         return self.get_interval_s(source) + self.get_margin_s(source)
 
+    def compute_batch_delay_s(self, source: Source) -> float:
+        """Return the delay before the watch that follows some changes."""
+        match source:
+            case Source.STORE:
+                more = BATCH_DELAY_RATIO_PER_HOST * self.host_count
+                ratio = min(self.batch_delay_ratio + more, MAX_BATCH_DELAY_RATIO)
+            case _:
+                # What an aggregator reads late reaches other hosts later.
+                ratio = self.batch_delay_ratio
+        return ratio * self.max_apply_delay_s
+
     def compute_terms(self, source: Source, view_age_s: float) -> WatchTerms:
         """Return the terms of the next watch; the age is infinite for a new host."""
         interval_s = self.get_interval_s(source)
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -110,9 +110,8 @@
             rng,
             change_history.ChangeHistory(),
             builders.build_quarantine(),
-            batch_delay_s=0.0,
+            timing=watch_timing.WatchTiming(apply_delay_s, batch_delay_ratio=0.0),
         )
-        self.watcher.timing.max_apply_delay_s = apply_delay_s
         self.probe = store_probe.StoreProbe(self.watcher, rng)
         self.probe.set_interval(apply_delay_s)
         self.threads = [
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -8,7 +8,7 @@
 from corianderrill.platform import store
 from tests.utils import gateway_builders as builders
 
-BATCH_DELAY_S = 2.0
+BATCH_DELAY_S = 1.5
 
 
 class FakeClient:
@@ -51,7 +51,7 @@
         change_history.ChangeHistory(),
         builders.build_quarantine(),
     )
-    watcher.batch_delay_s = BATCH_DELAY_S
+    watcher.timing.batch_delay_ratio = BATCH_DELAY_S / watcher.timing.max_apply_delay_s
     for _ in counts:
         watcher._watch_once()
     return sleeps
--- a/tests/test_gateway_view_age.py
+++ b/tests/test_gateway_view_age.py
@@ -66,7 +66,7 @@
 
 def build_watcher(clock, *replies, apply_delay_s=3.0):
     log = fake_stores.RecordingLog()
-    watcher = store_watcher.StoreWatcher(
+    return store_watcher.StoreWatcher(
         ScriptedClient(clock, *replies),
         builders.build_view(),
         FakePools(),
@@ -77,11 +77,9 @@
         random.Random(1),
         change_history.ChangeHistory(),
         builders.build_quarantine(),
+        timing=watch_timing.WatchTiming(apply_delay_s, batch_delay_ratio=0.0),
         clock=clock,
-        batch_delay_s=0.0,
     )
-    watcher.timing.max_apply_delay_s = apply_delay_s
-    return watcher
 
 
 @pytest.fixture
--- a/tests/test_gateway_watched_demand.py
+++ b/tests/test_gateway_watched_demand.py
@@ -12,6 +12,7 @@
     demand_reporter,
     event_log,
     store_watcher,
+    watch_timing,
 )
 from corianderrill.platform import documents, store
 from tests.utils import fake_stores
@@ -59,8 +60,7 @@
         random.Random(1),
         change_history.ChangeHistory(),
         builders.build_quarantine(),
-        batch_delay_s=0.0,
-        min_batch_delay_s=0.0,
+        timing=watch_timing.WatchTiming(batch_delay_ratio=0.0),
     )
 
 
