Watch one aggregator for a while; probe soon enough to see silence first

With short watches a host would change its aggregator about once a second, and hold connections to both. Probes follow after 0.3 of the time in which a change has to apply, so that a store that is silent is noticed before the reply to an aggregator's watch counts as missing: a missing reply alone is no outage.

--- a/corianderrill/gateway/aggregators.py
+++ b/corianderrill/gateway/aggregators.py
@@ -23,6 +23,9 @@
 # further failure.
 BACKOFF_BASE_S = 1.0
 MAX_BACKOFF_S = 8.0
+# Another aggregator of the zone may be watched after this time, so that the hosts of a
+# zone spread over its aggregators again after one was away.
+RELAY_TERM_S = 25.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +79,9 @@
     _relay_health: dict[names.Address, _Health] = dataclasses.field(
         default_factory=dict
     )
+    # The aggregator that is watched in place of the store, until this time at most.
+    _relay: Aggregator | None = None
+    _relay_until: float = -math.inf
 
     def apply(self, key: SlotKey, holder: Aggregator | None, revision: int) -> bool:
         """Set who holds a slot; return False if a newer revision was applied before."""
@@ -142,23 +148,20 @@
         )
 
     def select_relay(
-        self,
-        zone: names.ZoneName,
-        now: float,
-        rng: random.Random,
-        former: Aggregator | None = None,
+        self, zone: names.ZoneName, now: float, rng: random.Random
     ) -> Aggregator | None:
         """Return an aggregator to watch in place of the store, if there is one.
 
-        This is the `former` one while it is available. An aggregator itself watches
-        the store.
+        It stays the same for a while, and as long as it is available. An aggregator
+        itself watches the store.
         """
         if self.is_aggregator():
             return None
         available = self._list_available(zone, now, self._relay_health)
-        if former in available:
-            return former
-        return rng.choice(available) if available else None
+        if self._relay not in available or now >= self._relay_until:
+            self._relay = rng.choice(available) if available else None
+            self._relay_until = now + RELAY_TERM_S
+        return self._relay
 
     def _list_available(
         self,
--- a/corianderrill/gateway/store_probe.py
+++ b/corianderrill/gateway/store_probe.py
@@ -20,7 +20,7 @@
 
 # A probe is due when nothing was heard from the store for this share of the time within
 # which a host has to apply a change.
-PROBE_INTERVAL_RATIO = 0.4
+PROBE_INTERVAL_RATIO = 0.3
 # Largest random reduction of an interval, as a share of it, so that the probes of many
 # hosts spread out.
 PROBE_INTERVAL_JITTER = 0.2
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -92,7 +92,6 @@
     )
     # Watches of the store that failed since one was answered.
     _failed_watches: int = 0
-    _relay: aggregators.Aggregator | None = None
     _open_watch: open_watch.OpenWatch = dataclasses.field(init=False)
     _changes: store_changes.StoreChanges = dataclasses.field(init=False)
     _relay_clients: dict[names.Address, store.StoreClient] = dataclasses.field(
@@ -167,8 +166,7 @@
 
     def _watch_once(self) -> None:
         now = self.clock()
-        relay = self.aggregators.select_relay(self.zone, now, self.rng, self._relay)
-        self._relay = relay
+        relay = self.aggregators.select_relay(self.zone, now, self.rng)
         if relay is None:
             self._watch_store()
             return
--- a/tests/test_gateway_aggregators.py
+++ b/tests/test_gateway_aggregators.py
@@ -74,6 +74,25 @@
     assert select(directory, 0.5) == holder
 
 
+# Guards against an aggregator that all hosts of its zone keep watching after the other
+# one was away, and against hosts that change theirs with each watch.
+def test_relay_stays_the_same_for_a_while_and_is_then_chosen_anew():
+    directory = build_directory(build_aggregator("a"), build_aggregator("b", 1))
+    rng = random.Random(1)
+    first = directory.select_relay(builders.ZONE, 0.0, rng)
+    kept = {directory.select_relay(builders.ZONE, 0.1 * n, rng) for n in range(200)}
+    assert kept == {first}
+    directory.record_relay_failure(first, 20.0)
+    other = directory.select_relay(builders.ZONE, 20.0, rng)
+    assert other not in (first, None)
+    later = range(1, 20)
+    chosen = {
+        directory.select_relay(builders.ZONE, 20.0 + n * aggregators.RELAY_TERM_S, rng)
+        for n in later
+    }
+    assert chosen == {first, other}
+
+
 def test_slots_that_nobody_holds_are_vacant():
     directory = build_directory(build_aggregator(slot=0))
     assert [key.slot for key in directory.list_vacant(builders.ZONE)] == [1]
