--- a/tests/test_gateway_lost_replies.py
+++ b/tests/test_gateway_lost_replies.py
@@ -42,6 +42,18 @@
     assert rig.send_request("/single/x")[0].status == 404
 
 
+# Guards against hosts that rely on each other to learn of a lost reply.
+def test_change_is_in_force_in_time_on_all_hosts_that_lost_its_reply_at_once(tmp_path):
+    with lost_replies.run(tmp_path, host_count=3) as (rig, store):
+        eventlet.sleep(lost_replies.STALE_S)
+        changed_at = store.lose_watch_reply(
+            lambda: rig.publish_configuration(version=5, single={"prefix": "/moved/"})
+        )
+        assert store.door.lost_paths.count(lost_replies.WATCH_PATH) >= 2
+        for host in rig.hosts:
+            wait_until_served(host, "/moved/x", changed_at + APPLY_S)
+
+
 # Guards against requests to a replica that has left, by the same cause.
 def test_replica_that_leaves_in_a_lost_watch_reply_is_avoided_in_time(lossy):
     rig, store = lossy
--- a/tests/utils/lost_replies.py
+++ b/tests/utils/lost_replies.py
@@ -47,17 +47,20 @@
 
 
 @contextlib.contextmanager
-def run(directory):
-    """Yield a rig of one gateway, ready, and its lossy store."""
+def run(directory, host_count=1):
+    """Yield a rig of ready gateways, and the lossy store of all of them."""
     rig = gateway_rig.GatewayRig(directory)
+    for number in range(2, host_count + 1):
+        rig.add_host(f"front-{number}")
     lossy = LossyStore(rig.store)
-    host = rig.hosts[0]
-    host.change_store_address(lossy.address)
     try:
         rig.publish_configuration()
         rig.register_servers()
-        host.start()
-        rig.wait_until_ready(host)
+        for host in rig.hosts:
+            host.change_store_address(lossy.address)
+            host.start()
+        for host in rig.hosts:
+            rig.wait_until_ready(host)
         rig.store.delay_stale_reads(STALE_S)
         yield rig, lossy
     finally:
