--- a/benchmarks/gateways/changes.py
+++ b/benchmarks/gateways/changes.py
@@ -31,7 +31,7 @@
 
 from benchmarks.gateways import (  # noqa: E402
     callers,
-    checks,
+    following,
     hosts,
     links,
     records,
@@ -48,7 +48,7 @@
 DISTURB_AFTER_S = 10.0
 # Callers ask for a change only when it has to be in force.
 SLACK_S = 0.3
-STAY_S = checks.DRAIN_S + 3.0
+STAY_S = following.DRAIN_S + 3.0
 DIRECTORY = pathlib.Path("target/changes")
 
 
@@ -117,7 +117,7 @@
         left_at = self.left_at
         if (
             left_at is not None
-            and time.monotonic() > left_at + checks.DRAIN_S + SLACK_S
+            and time.monotonic() > left_at + following.DRAIN_S + SLACK_S
         ):
             self._report.late += 1
         status, headers, _ = super().handle_request(environ)
@@ -225,7 +225,7 @@
         """Ask until the end of the run."""
         for number in itertools.count():
             eventlet.sleep(ASK_EVERY_S)
-            due = time.monotonic() - checks.APPLY_S - SLACK_S
+            due = time.monotonic() - following.APPLY_S - SLACK_S
             dropped = [(r, None) for r in self._operator.dropped[-3:] if r.since < due]
             kept = [(r, r.service) for r in self._operator.routes if r.since < due]
             if kept or dropped:
--- a/benchmarks/gateways/checks.py
+++ b/benchmarks/gateways/checks.py
@@ -1,7 +1,7 @@
 """Checks of what was seen against the promises; each returns what broke it.
 
 A host binds by a time bound only while nothing was wrong with it or with the store
-for `CONTACT_S`.
+for `findings.CONTACT_S`.
 """
 
 import bisect
@@ -10,14 +10,9 @@
 import itertools
 from collections.abc import Callable, Iterator
 
-from benchmarks.gateways import records, servers
+from benchmarks.gateways import findings, following, records, servers
 
-CONTACT_S = 2.0
-DRAIN_S = 2.0
 GRACE_S = 6.0
-APPLY_S = 2.0
-ROLLBACK_SLACK_S = 0.25
-ROLLBACK_DISTURBED_S = 2.0
 LOSS_SLACK_S = 0.2
 REPEAT_RATIO = 0.2
 REPEAT_WINDOW_S = 10.0
@@ -47,64 +42,10 @@
 REFUSALS = (408, 421, 429, 503)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Broken:
-    """A promise that was not kept, and what showed it."""
+Check = Callable[[findings.Evidence], Iterator[findings.Broken]]
 
-    check: str
-    at_s: float
-    detail: str
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Setting:
-    """What the checks have to know of the run."""
-
-    shards: tuple[records.ServiceName, ...]
-    repeat_fixed: float
-    has_aggregators: bool = False
-
-
-class Evidence:
-    """What was seen, indexed for the checks."""
-
-    def __init__(self, history: records.History, setting: Setting) -> None:
-        self.history = history
-        self.setting = setting
-        self.by_id = {asked.id: asked for asked in history.asked}
-        self.runs = {a.signature: a for a in history.arrivals if a.signature}
-        self.by_request: dict[records.RequestId, list[records.Arrival]] = {}
-        for arrival in history.arrivals:
-            self.by_request.setdefault(arrival.id, []).append(arrival)
-
-    def is_in_touch(
-        self, host: records.HostName, since: float, until: float | None = None
-    ) -> bool:
-        """Tell whether nothing was wrong from `CONTACT_S` before a span to its end."""
-        end = since if until is None else until
-        return not any(
-            span.since <= end and span.until >= since - CONTACT_S
-            for span in self.history.disturbed
-            if span.host in (None, host)
-        )
-
-    def was_held(self, arrival: records.Arrival) -> bool:
-        """Tell whether a harmed link may have brought a request late."""
-        return any(
-            held.since <= arrival.at <= held.until + CONTACT_S
-            for held in self.history.held
-            if held.replica == arrival.replica
-        )
-
-    def list_runs(self, request: records.RequestId) -> list[records.Arrival]:
-        """Return the runs of a request."""
-        return [a for a in self.by_request.get(request, []) if a.signature]
-
-
-Check = Callable[[Evidence], Iterator[Broken]]
-
-
-def check_answers(evidence: Evidence) -> Iterator[Broken]:
+def check_answers(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A success is the whole reply of a server that ran this very request."""
     for asked in evidence.history.asked:
         if not asked.is_success:
@@ -115,10 +56,12 @@
             case records.Kind.BOOKING:
                 fault = _find_booking_fault(asked, evidence)
         if fault is not None:
-            yield Broken("answers", asked.began_at, f"{asked.id}: {fault}")
+            yield findings.Broken("answers", asked.began_at, f"{asked.id}: {fault}")
 
 
-def _find_booking_fault(asked: records.Asked, evidence: Evidence) -> str | None:
+def _find_booking_fault(
+    asked: records.Asked, evidence: findings.Evidence
+) -> str | None:
     if len(asked.signatures) != 1:
         return "no signature"
     run = evidence.runs.get(asked.signatures[0])
@@ -127,7 +70,7 @@
     return None if run.body == asked.body else "another body than the server's"
 
 
-def _find_query_fault(asked: records.Asked, evidence: Evidence) -> str | None:
+def _find_query_fault(asked: records.Asked, evidence: findings.Evidence) -> str | None:
     runs = [evidence.runs.get(signature) for signature in asked.signatures]
     if any(r is None or r.id != asked.id or r.status != 200 for r in runs):
         return "a part is no good reply to it"
@@ -146,20 +89,22 @@
     return None if asked.body == b"".join(greatest) else "not the greatest records"
 
 
-def check_at_most_once(evidence: Evidence) -> Iterator[Broken]:
+def check_at_most_once(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A booking runs once at most, and not at all where it was refused."""
     for asked in evidence.history.asked:
         if asked.kind is not records.Kind.BOOKING:
             continue
         runs = evidence.list_runs(asked.id)
         if len(runs) > 1:
-            yield Broken("at-most-once", asked.began_at, f"{asked.id} ran twice")
+            yield findings.Broken(
+                "at-most-once", asked.began_at, f"{asked.id} ran twice"
+            )
         if runs and asked.status in REFUSALS:
             detail = f"{asked.id} ran and was refused with {asked.status}"
-            yield Broken("at-most-once", asked.began_at, detail)
+            yield findings.Broken("at-most-once", asked.began_at, detail)
 
 
-def check_repeats(evidence: Evidence) -> Iterator[Broken]:
+def check_repeats(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """In each window, a service gets no more repeats than the platform allows."""
     requests: dict[str, list[float]] = {name: [] for name in evidence.setting.shards}
     bookings = []
@@ -182,10 +127,10 @@
                 detail = (
                     f"{service}: {repeats} repeats in a window, {allowed:.0f} allowed"
                 )
-                yield Broken("repeats", at, detail)
+                yield findings.Broken("repeats", at, detail)
 
 
-def _list_repeats(evidence: Evidence) -> dict[str, list[float]]:
+def _list_repeats(evidence: findings.Evidence) -> dict[str, list[float]]:
     repeats: dict[str, list[float]] = collections.defaultdict(list)
     for arrivals in evidence.by_request.values():
         by_service = itertools.groupby(
@@ -207,7 +152,7 @@
     return bisect.bisect_right(ordered, until) - bisect.bisect_right(ordered, since)
 
 
-def check_attempts(evidence: Evidence) -> Iterator[Broken]:
+def check_attempts(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A request runs on no more replicas of a service than its route allows."""
     over = []
     for request, arrivals in evidence.by_request.items():
@@ -216,81 +161,10 @@
         if max(counts.values(), default=0) > MAX_ATTEMPTS:
             over.append(request)
     if len(over) > OVER_ATTEMPTS:
-        yield Broken("attempts", evidence.history.began_at, ", ".join(over))
-
+        yield findings.Broken("attempts", evidence.history.began_at, ", ".join(over))
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Seen:
-    """A host handled a request by a version."""
 
-    at: float
-    version: int
-
-
-def check_routes(evidence: Evidence) -> Iterator[Broken]:
-    """Bookings go where a version sends them: in time, and never back."""
-    published = evidence.history.published
-    seen: dict[records.HostName, list[_Seen]] = {}
-    for arrival in sorted(evidence.runs.values(), key=lambda a: a.at):
-        asked = evidence.by_id[arrival.id]
-        if asked.kind is not records.Kind.BOOKING or asked.sent_at is None:
-            continue
-        versions = [p for p in published if p.bookings == arrival.service]
-        started = [p for p in versions if p.at <= arrival.at]
-        if not started:
-            yield Broken("routes", arrival.at, f"{arrival.id} at {arrival.service}")
-            continue
-        newest = started[-1]
-        yield from _check_age(evidence, asked, newest)
-        known = seen.setdefault(asked.host, [])
-        yield from _check_order(evidence, asked, newest.version, known)
-        known.append(_Seen(arrival.at, newest.version))
-
-
-def _check_age(
-    evidence: Evidence, asked: records.Asked, used: records.Published
-) -> Iterator[Broken]:
-    later = [p for p in evidence.history.published if p.version > used.version]
-    if not later or asked.sent_at <= later[0].at + APPLY_S:
-        return
-    if evidence.is_in_touch(asked.host, later[0].at, asked.sent_at):
-        detail = f"{asked.id} handled by {used.version} after {later[0].version}"
-        yield Broken("routes", asked.sent_at, detail)
-
-
-def _check_order(
-    evidence: Evidence,
-    asked: records.Asked,
-    version: int,
-    known: list[_Seen],
-) -> Iterator[Broken]:
-    starts = [s.at for s in evidence.history.started if s.host == asked.host]
-    since = max((at for at in starts if at <= asked.sent_at), default=0.0)
-    calm = evidence.is_in_touch(asked.host, asked.sent_at)
-    slack_s = ROLLBACK_SLACK_S if calm else ROLLBACK_DISTURBED_S
-    for other in known:
-        if other.version > version and since <= other.at < asked.sent_at - slack_s:
-            detail = f"{asked.id} handled by {version} after {other.version}"
-            yield Broken("routes", asked.sent_at, detail)
-            return
-
-
-def check_draining(evidence: Evidence) -> Iterator[Broken]:
-    """A replica that leaves gets nothing new after its time."""
-    left = {entry.replica: entry.at for entry in evidence.history.left}
-    for arrival in evidence.history.arrivals:
-        left_at = left.get(arrival.replica)
-        if left_at is None or arrival.at <= left_at + DRAIN_S or arrival.was_elsewhere:
-            continue
-        asked = evidence.by_id[arrival.id]
-        sent_late = (asked.sent_at or 0.0) > left_at + DRAIN_S
-        if sent_late and evidence.is_in_touch(asked.host, left_at, arrival.at):
-            late_s = arrival.at - left_at
-            detail = f"{arrival.id} at {arrival.replica} after {late_s:.1f} s"
-            yield Broken("draining", arrival.at, detail)
-
-
-def check_limits(evidence: Evidence) -> Iterator[Broken]:
+def check_limits(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A replica gets no more from the hosts that it told than its limit allows.
 
     It is not known which host sent what an aggregator sent for another one.
@@ -304,11 +178,13 @@
             count = bisect.bisect_left(times, at + LIMIT_WINDOW_S) - first
             if count > allowed:
                 detail = f"{limited.replica}: {count} requests, {allowed:.0f} allowed"
-                yield Broken("limits", at, detail)
+                yield findings.Broken("limits", at, detail)
                 break
 
 
-def _list_limited(evidence: Evidence, limited: records.Limited) -> Iterator[float]:
+def _list_limited(
+    evidence: findings.Evidence, limited: records.Limited
+) -> Iterator[float]:
     """Yield when a limited replica got requests that its limit binds."""
     told_at: dict[records.HostName, float] = {}
     arrivals = [a for a in evidence.history.arrivals if a.replica == limited.replica]
@@ -325,7 +201,7 @@
             told_at.setdefault(host, arrival.limited_at)
 
 
-def check_announced(evidence: Evidence) -> Iterator[Broken]:
+def check_announced(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A replica that said that it leaves gets nothing late of the host it told."""
     told: dict[tuple[str, str], float] = {}
     for noticed in evidence.history.noticed:
@@ -335,7 +211,7 @@
     for arrival in evidence.history.arrivals:
         asked = evidence.by_id[arrival.id]
         told_at = told.get((arrival.replica, asked.host))
-        if told_at is None or (asked.sent_at or 0.0) <= told_at + DRAIN_S:
+        if told_at is None or (asked.sent_at or 0.0) <= told_at + following.DRAIN_S:
             continue
         restarted = any(
             s.host == asked.host and told_at < s.at <= arrival.at
@@ -343,10 +219,10 @@
         )
         if not restarted and not evidence.setting.has_aggregators:
             detail = f"{arrival.id} at {arrival.replica} from {asked.host}"
-            yield Broken("announced", arrival.at, detail)
+            yield findings.Broken("announced", arrival.at, detail)
 
 
-def check_pauses(evidence: Evidence) -> Iterator[Broken]:
+def check_pauses(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A replica that wants a pause gets two more requests of that host at most."""
     if evidence.setting.has_aggregators:
         return
@@ -364,10 +240,10 @@
         late = [at for at in times if noticed.at + PAUSE_SLACK_S < at < noticed.until]
         if len(late) > PAUSE_AT_MOST:
             detail = f"{noticed.replica}: {len(late)} requests from {host}"
-            yield Broken("pauses", noticed.at, detail)
+            yield findings.Broken("pauses", noticed.at, detail)
 
 
-def check_crashes(evidence: Evidence) -> Iterator[Broken]:
+def check_crashes(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A request under which servers ended is soon sent to hardly any more."""
     by_body = collections.defaultdict(list)
     for crashed in evidence.history.crashed:
@@ -385,23 +261,27 @@
         ]
         if len(late) > CRASHES_AT_MOST:
             detail = f"{body.decode()}: {len(late)} more of {len(runs)} in all"
-            yield Broken("crashes", late[0].at, detail)
+            yield findings.Broken("crashes", late[0].at, detail)
 
 
-def check_losses(evidence: Evidence) -> Iterator[Broken]:
+def check_losses(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A host that ends on SIGTERM loses no request that it has read."""
     for told in evidence.history.told:
         if told.status != 0 or told.ended_at - told.at > GRACE_S:
             detail = f"{told.host}: status {told.status}"
             detail += f" after {told.ended_at - told.at:.1f} s"
             if evidence.is_in_touch(told.host, told.at - 0.01, told.at - 0.01):
-                yield Broken("losses", told.at, detail)
+                yield findings.Broken("losses", told.at, detail)
         for asked in evidence.history.asked:
             if _is_lost(asked, told, evidence):
-                yield Broken("losses", asked.began_at, f"{asked.id}: cut at the end")
+                yield findings.Broken(
+                    "losses", asked.began_at, f"{asked.id}: cut at the end"
+                )
 
 
-def _is_lost(asked: records.Asked, told: records.Told, evidence: Evidence) -> bool:
+def _is_lost(
+    asked: records.Asked, told: records.Told, evidence: findings.Evidence
+) -> bool:
     if asked.host != told.host or asked.ending is not records.Ending.CUT:
         return False
     if asked.sent_at > told.ended_at or asked.ended_at < told.at:
@@ -411,13 +291,16 @@
         for span in evidence.history.disturbed
         if span.host in (None, told.host) and span.since != told.at
     ]
-    if any(s.since <= asked.ended_at and s.until >= told.at - CONTACT_S for s in spans):
+    if any(
+        s.since <= asked.ended_at and s.until >= told.at - findings.CONTACT_S
+        for s in spans
+    ):
         return False
     was_passed_on = bool(evidence.by_request.get(asked.id))
     return was_passed_on or asked.ended_at - asked.sent_at > LOSS_SLACK_S
 
 
-def check_deadlines(evidence: Evidence) -> Iterator[Broken]:
+def check_deadlines(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """A request has its end soon after the time that its route allows."""
     for asked in evidence.history.asked:
         if asked.sent_at is None or asked.ending is records.Ending.LEFT:
@@ -426,10 +309,12 @@
         if took_s <= asked.kind.timeout_s + LATE_AFTER_S:
             continue
         if evidence.is_in_touch(asked.host, asked.began_at, asked.ended_at):
-            yield Broken("deadlines", asked.began_at, f"{asked.id}: {took_s:.2f} s")
+            yield findings.Broken(
+                "deadlines", asked.began_at, f"{asked.id}: {took_s:.2f} s"
+            )
 
 
-def check_leaving(evidence: Evidence) -> Iterator[Broken]:
+def check_leaving(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """What a caller has left is soon asked of no server any more.
 
     What a harmed link brings late was sent in time.
@@ -443,23 +328,27 @@
         and not evidence.was_held(arrival)
     ]
     if len(late) > GONE_AT_MOST:
-        yield Broken("leaving", late[0].at, f"{len(late)} arrivals after their caller")
+        yield findings.Broken(
+            "leaving", late[0].at, f"{len(late)} arrivals after their caller"
+        )
 
 
-def check_recovery(evidence: Evidence) -> Iterator[Broken]:
+def check_recovery(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """After the last fault nearly all is served again."""
     since = evidence.history.faults_end_at + RECOVERY_S
     late = [asked for asked in evidence.history.asked if asked.began_at > since]
     served = sum(asked.is_success for asked in late)
     if served < RECOVERED_SHARE * len(late):
         detail = f"{served} of {len(late)} served after the faults"
-        yield Broken("recovery", since, detail)
+        yield findings.Broken("recovery", since, detail)
 
 
-def check_processes(evidence: Evidence) -> Iterator[Broken]:
+def check_processes(evidence: findings.Evidence) -> Iterator[findings.Broken]:
     """No process ends by itself or reports an error of its own."""
     for vanished in evidence.history.vanished:
-        yield Broken("processes", vanished.at, f"{vanished.host}: {vanished.detail}")
+        yield findings.Broken(
+            "processes", vanished.at, f"{vanished.host}: {vanished.detail}"
+        )
 
 
 CHECKS: tuple[Check, ...] = (
@@ -467,8 +356,8 @@
     check_at_most_once,
     check_repeats,
     check_attempts,
-    check_routes,
-    check_draining,
+    following.check_routes,
+    following.check_draining,
     check_limits,
     check_announced,
     check_pauses,
@@ -481,9 +370,9 @@
 )
 
 
-def judge(history: records.History, setting: Setting) -> list[Broken]:
+def judge(history: records.History, setting: findings.Setting) -> list[findings.Broken]:
     """Return all that broke a promise, with times since the begin of the run."""
-    evidence = Evidence(history, setting)
+    evidence = findings.Evidence(history, setting)
     found = itertools.chain.from_iterable(check(evidence) for check in CHECKS)
     return [
         dataclasses.replace(broken, at_s=round(broken.at_s - history.began_at, 2))
--- a/benchmarks/gateways/fleet.py
+++ b/benchmarks/gateways/fleet.py
@@ -6,8 +6,9 @@
 import eventlet
 
 from benchmarks.gateways import (
-    checks,
     faults,
+    findings,
+    following,
     hosts,
     links,
     publishing,
@@ -23,7 +24,7 @@
 # After the store was away, servers register again within this time.
 RETURN_S = 1.8
 # A server that drains stays a little longer than it has to.
-STAY_S = checks.DRAIN_S + 2.0
+STAY_S = following.DRAIN_S + 2.0
 # A server that a request has ended is back after this time.
 CRASHED_S = 1.5
 # One fault of a replica in so many hits one that takes bookings now.
@@ -62,7 +63,7 @@
         self,
         store: platform.FakeStore,
         history: records.History,
-        setting: checks.Setting,
+        setting: findings.Setting,
         desk_replicas: int,
         rng: random.Random,
     ) -> None:
@@ -209,7 +210,7 @@
         eventlet.sleep(STAY_S)
         self.servers.remove(server)
         self._store.remove(f"servers/{server.id}")
-        eventlet.sleep(checks.DRAIN_S)
+        eventlet.sleep(following.DRAIN_S)
         server.stop()
 
 
--- a/benchmarks/gateways/hosts.py
+++ b/benchmarks/gateways/hosts.py
@@ -8,7 +8,13 @@
 import eventlet
 
 from benchmarks import ports, processes
-from benchmarks.gateways import callers, checks, links, records
+from benchmarks.gateways import (
+    callers,
+    checks,
+    following,
+    links,
+    records,
+)
 from corianderrill import names
 from corianderrill.standins import host_settings
 
@@ -47,9 +53,9 @@
             listen_address=str(front),
             readiness_address=str(ready),
             store_address=str(self.store_link.address),
-            drain_ms=int(1000 * checks.DRAIN_S),
+            drain_ms=int(1000 * following.DRAIN_S),
             grace_s=int(checks.GRACE_S),
-            config_apply_ms=int(1000 * checks.APPLY_S),
+            config_apply_ms=int(1000 * following.APPLY_S),
             retry_ratio=checks.REPEAT_RATIO,
             retry_slack=int(repeat_fixed),
             port_range=[between.port, between.port] if has_aggregators else [],
--- a/benchmarks/gateways/publishing.py
+++ b/benchmarks/gateways/publishing.py
@@ -2,7 +2,7 @@
 
 import time
 
-from benchmarks.gateways import callers, checks, records
+from benchmarks.gateways import callers, checks, findings, records
 from corianderrill.standins import platform
 
 DESKS = tuple(records.ServiceName(f"desk-{number}") for number in range(4))
@@ -17,7 +17,7 @@
         self,
         store: platform.FakeStore,
         history: records.History,
-        setting: checks.Setting,
+        setting: findings.Setting,
     ) -> None:
         self._store = store
         self._history = history
@@ -41,7 +41,7 @@
 
 
 def build_configuration(
-    version: int, setting: checks.Setting, desk: records.ServiceName
+    version: int, setting: findings.Setting, desk: records.ServiceName
 ) -> dict[str, object]:
     """Return the operator's document of a version."""
     shared = {
--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -10,9 +10,9 @@
 
 from benchmarks.gateways import (
     callers,
-    checks,
     crossings,
     faults,
+    findings,
     fleet,
     hosts,
     links,
@@ -29,7 +29,7 @@
 LAG_AT_MOST_S = 0.1
 WATCH_EVERY_S = 0.2
 # Hosts are in touch again by then.
-NEXT_VERSION_AFTER_S = checks.CONTACT_S + 0.5
+NEXT_VERSION_AFTER_S = findings.CONTACT_S + 0.5
 FIXED_BASE = 40
 FIXED_A_HOST = 2
 # Sized for as many hosts as make gateways want aggregators.
@@ -69,7 +69,7 @@
         self._rng = rng
         self.history = records.History(time.monotonic())
         shards = (f"shard-{number}" for number in range(size.shards))
-        self.setting = checks.Setting(
+        self.setting = findings.Setting(
             tuple(map(records.ServiceName, shards)),
             FIXED_WITH_AGGREGATORS
             if size.has_aggregators
--- a/benchmarks/gateways/soak.py
+++ b/benchmarks/gateways/soak.py
@@ -10,7 +10,13 @@
 
 import typer
 
-from benchmarks.gateways import checks, faults, records, rig
+from benchmarks.gateways import (
+    checks,
+    faults,
+    findings,
+    records,
+    rig,
+)
 
 DIRECTORY = pathlib.Path("target/soak")
 SHOWN_AT_MOST = 20
@@ -30,7 +36,7 @@
     faults: dict[str, int]
     endings: dict[str, int]
     driver_lag_s: float
-    broken: list[checks.Broken]
+    broken: list[findings.Broken]
 
 
 def run(
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks.gateways import checks, faults, records
+from benchmarks.gateways import checks, faults, following, records
 from tests.utils import soak_builders as builders
 
 AT = builders.BEGAN_AT
@@ -67,7 +67,7 @@
 
 def use_an_older_version_too_long(history):
     history.published.append(records.Published(2, AT + 2, builders.DESKS[1]))
-    builders.add_booking(history, "late", AT + 2 + checks.APPLY_S + 0.1)
+    builders.add_booking(history, "late", AT + 2 + following.APPLY_S + 0.1)
 
 
 def go_back_to_an_older_version(history):
@@ -79,7 +79,7 @@
 def ask_a_replica_that_has_left(history):
     replica = records.InstanceId("i-shard-0")
     history.left.append(records.Left(replica, AT + 2))
-    builders.add_query(history, "late", AT + 2 + checks.DRAIN_S + 0.1)
+    builders.add_query(history, "late", AT + 2 + following.DRAIN_S + 0.1)
 
 
 def cut_a_request_at_the_end(history):
@@ -136,7 +136,7 @@
     builders.add_query(history, "told", AT + 2)
     told = records.Noticed(replica, records.RequestId("told"), AT + 2)
     history.noticed.append(told)
-    builders.add_query(history, "late", AT + 2 + checks.DRAIN_S + 0.1)
+    builders.add_query(history, "late", AT + 2 + following.DRAIN_S + 0.1)
 
 
 def ask_a_replica_that_wants_a_pause(history):
--- a/tests/utils/soak_builders.py
+++ b/tests/utils/soak_builders.py
@@ -1,12 +1,12 @@
 """Histories of a soak: a sound one, which tests change to what a check must find."""
 
-from benchmarks.gateways import checks, records, servers
+from benchmarks.gateways import checks, findings, records, servers
 
 BEGAN_AT = 1000.0
 HOST = records.HostName("front-0")
 SHARDS = tuple(records.ServiceName(f"shard-{number}") for number in range(2))
 DESKS = tuple(records.ServiceName(f"desk-{number}") for number in range(3))
-SETTING = checks.Setting(SHARDS, repeat_fixed=10)
+SETTING = findings.Setting(SHARDS, repeat_fixed=10)
 
 
 def build_history():
