--- a/benchmarks/gateways/rig.py
+++ b/benchmarks/gateways/rig.py
@@ -204,7 +204,7 @@
             case faults.Kind.STORE_REPLY_DROPPED:
                 return self._begin_dropped_reply(host, since)
             case faults.Kind.STORE_STALE:
-                return self._store_faults.begin_stale_reads(fault.pick)
+                return self._store_faults.begin_stale_reads()
             case faults.Kind.CRASHING_REQUEST:
                 return self._begin_crashing(fault)
             case _ if kind in fleet.KINDS_OF_ALL:
