--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -137,8 +137,8 @@
         The next watch starts at the oldest revision of the pages that were read, so it
         returns all changes made meanwhile.
         """
-        # Only the read at startup may be stale. The first watch returns the newer
-        # changes at once, and confirms the view.
+        # Only the read at startup may be stale. The first watch returns newer changes
+        # at once, and confirms the view.
         allow_stale = not self.revision
         batch = self.client.read_range(ALL_KEYS_PREFIX, None, allow_stale)
         era = batch.era
