The first watch of a host does not wait, but the batch delay follows it

It does not wait any more.

The tests of the batch delay are about a host whose view was confirmed, and say so now; a new one is about the first watch.

--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -207,11 +207,14 @@
         elif self.outage_started_at is not None:
             self._probe_after_failure()
         source = self._get_store_source()
+        is_first = not self.view.was_confirmed()
         self._failed_watches += 1
         reply = self._wait_for_changes(self.client, source)
         self._failed_watches = 0
         self._apply_reply(reply)
-        if 0 < len(reply.changes.items) < MIN_BACKLOG_CHANGES:
+        change_count = len(reply.changes.items)
+        # Where many hosts start, changes soon follow.
+        if change_count < MIN_BACKLOG_CHANGES and (change_count or is_first):
             eventlet.sleep(self.timing.compute_batch_delay_s(source))
 
     def _get_store_source(self) -> watch_timing.Source:
--- a/corianderrill/gateway/watch_timing.py
+++ b/corianderrill/gateway/watch_timing.py
@@ -10,7 +10,6 @@
 
 import dataclasses
 import enum
-import math
 
 # How long after its wait the reply to a watch may come, as a ratio of the time within
 # which a host has to apply a change.
@@ -19,10 +18,6 @@
 MAX_MARGIN_S = 0.6
 # A watch that does not wait returns what has changed so far.
 MIN_WAIT_S = 0.01
-# The first watch of a host returns at once what has changed since the read at its
-# start. If that is nothing, it waits for so long, as a ratio of the time within which a
-# host has to apply a change: where many hosts start, changes soon follow.
-FIRST_WAIT_RATIO = 0.2
 # The delay before the watch that follows some changes, as a ratio of the time within
 # which a host has to apply one. With it, one call returns several changes that follow
 # each other quickly. The ratio grows with the number of hosts that watch the store.
@@ -91,8 +86,6 @@
         """Return the terms of the next watch; the age is infinite for a new host."""
         interval_s = self.get_interval_s(source)
         match source:
-            case _ if math.isinf(view_age_s):
-                wait_s = FIRST_WAIT_RATIO * self.max_apply_delay_s
             case Source.AGGREGATOR if view_age_s <= self.max_apply_delay_s:
                 # The age may be the aggregator's, which a shorter wait does not lower.
                 wait_s = interval_s
