A reply of the store that is under way is waited for

Cause: the time limit of a call was one for the whole reply. An aggregator sends a great configuration to all hosts behind it at once, its link shares it out, and none of them had all of it in time. Each closed the connection and asked the next aggregator for all of it.

Change: the limit of a call holds until the first piece of the body is in. Each further piece of 32 KB has a second of its own, so a reply that moves is read to its end, one that stops or dribbles is still given up. The time of the way counts in the age of the view. The error tells how much had come.

Tests: all three of test_gateway_slow_transfers.py fail before (the first with "no end of the reply"). test_age_of_an_aggregators_view_reaches_the_host_behind_it asked for 1.5 s to the microsecond; the age now has the way in it, so it asks for 1.5 s and no less, and less than a round trip more.

--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -144,7 +144,7 @@
         era = batch.era
         self._refuse_outdated(era)
         self._record_reply()
-        read_at = self.clock()
+        read_at = self.clock() - batch.age_s
         oldest_revision = batch.revision
         items = list(batch.items)
         while batch.has_more and batch.items:
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -17,7 +17,7 @@
 import urllib3
 
 from corianderrill import http_pools, names
-from corianderrill.gateway import view
+from corianderrill.gateway import loop, view
 from corianderrill.platform import decoding
 
 Key = NewType("Key", str)
@@ -28,6 +28,10 @@
 PROBE_TIMEOUT_S = 1.0
 # A page or a watch holds about 1 MB; base64 and field names add to that.
 MAX_BODY_BYTES = 16 * 1_048_576
+# The first piece of a body has to come within the time of its call. Each further one has
+# a time of its own, since a large body takes as long as the links on its way need.
+BODY_PIECE_BYTES = 32_768
+BODY_PIECE_TIMEOUT_S = 1.0
 # TCP keep-alive probes detect a dead connection within three seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -106,7 +110,7 @@
 
     For `removals_untrusted_s` more, removals may be the effect of a store outage that
     another host has noticed. `era` is the one of the revisions. `age_s` is the time
-    since the host that answers knew these to be all changes; 0 if the store answers.
+    since whoever answers knew these to be all changes, when the reply has been read.
     """
 
     items: tuple[Item, ...]
@@ -128,10 +132,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reply:
-    """The body of a reply, None if its status says no, and the era that it names."""
+    """The body of a reply, None if its status says no, and the era that it names.
+
+    `transfer_s` is the time from its headers to its end.
+    """
 
     body: bytes | None
     era: view.StoreEra
+    transfer_s: float = 0.0
 
 
 class _WireItem(msgspec.Struct):
@@ -204,7 +212,7 @@
         page = self._decode(_RANGE_DECODER, reply.body)
         items = tuple(map(_decode_item, page.items))
         revision = view.StoreRevision(page.at)
-        return Batch(items, revision, reply.era, page.has_more)
+        return Batch(items, revision, reply.era, page.has_more, age_s=reply.transfer_s)
 
     def probe_revision(self) -> Batch:
         """Return the store's revision and era, which may be seconds old, and no items.
@@ -404,7 +412,7 @@
             view.StoreRevision(changes.at),
             reply.era,
             removals_untrusted_s=changes.removals_untrusted_ms / 1000,
-            age_s=max(changes.view_age_ms, 0.0) / 1000,
+            age_s=max(changes.view_age_ms, 0.0) / 1000 + reply.transfer_s,
         )
 
     def close(self) -> None:
@@ -441,7 +449,7 @@
     ) -> _Reply:
         self.call_count += 1
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
-        # urllib3 limits the time of each read only, not of a body that keeps coming.
+        # urllib3 limits the time of each read only, not of a head that keeps coming.
         total_timeout = StoreError(FailureKind.UNREACHABLE, "no end of the reply")
         try:
             with eventlet.Timeout(CONNECT_TIMEOUT_S + timeout_s, total_timeout):
@@ -453,11 +461,14 @@
                     preload_content=False,
                     **content,
                 )
-                body = _read_body(reply)
+                answered_at = loop.read_clock()
+                first_piece = _read_first_piece(reply)
+            body = _read_rest(reply, first_piece)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(FailureKind.UNREACHABLE, type(error).__name__) from error
+        transfer_s = loop.read_clock() - answered_at
         if reply.status in (200, 204):
-            return _Reply(body, _parse_era(reply.headers.get(ERA_HEADER)))
+            return _Reply(body, _parse_era(reply.headers.get(ERA_HEADER)), transfer_s)
         if reply.status in negative_statuses:
             return _Reply(None, _parse_era(reply.headers.get(ERA_HEADER)))
         if reply.status == 410:
@@ -508,20 +519,40 @@
     return view.StoreEra(int(text))
 
 
-def _read_body(reply: urllib3.BaseHTTPResponse) -> bytes:
-    """Return the body; close the connection of one that is no reply or too large."""
-    try:
-        if reply.status not in FINAL_STATUSES:
-            # As for a status line that the HTTP client can't read.
-            raise StoreError(FailureKind.UNREACHABLE, f"status {reply.status}")
-        body = reply.read(MAX_BODY_BYTES + 1)
-        if len(body) > MAX_BODY_BYTES:
+def _read_first_piece(reply: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the first piece of a body; close the connection of what is no reply."""
+    if reply.status not in FINAL_STATUSES:
+        reply.close()
+        # As for a status line that the HTTP client can't read.
+        raise StoreError(FailureKind.UNREACHABLE, f"status {reply.status}")
+    return _read_piece(reply)
+
+
+def _read_rest(reply: urllib3.BaseHTTPResponse, first_piece: bytes) -> bytes:
+    """Return the body; close the connection of one that stops or is too large."""
+    pieces = [first_piece]
+    size = len(first_piece)
+    while pieces[-1]:
+        stopped = StoreError(
+            FailureKind.UNREACHABLE, f"no end of the reply after {size} bytes"
+        )
+        with eventlet.Timeout(BODY_PIECE_TIMEOUT_S, stopped):
+            pieces.append(_read_piece(reply))
+        size += len(pieces[-1])
+        if size > MAX_BODY_BYTES:
+            reply.close()
             raise StoreError(FailureKind.MALFORMED, "the reply is too large")
+    reply.release_conn()
+    return b"".join(pieces)
+
+
+def _read_piece(reply: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the next bytes of a body, none at its end; close it if that fails."""
+    try:
+        return reply.read(BODY_PIECE_BYTES)
     except BaseException:
         reply.close()
         raise
-    reply.release_conn()
-    return body
 
 
 def _decode_item(item: _WireItem) -> Item:
