--- a/corianderrill/gateway/store_relay.py
+++ b/corianderrill/gateway/store_relay.py
@@ -37,8 +37,8 @@
         match relay_messages.parse_call(path, query_text):
             case relay_messages.ProbeCall():
                 return self._encode([]) if self._is_current() else None
-            case relay_messages.WatchCall(after=after, era=era, wait_s=wait_s):
-                return self._watch(after, era, min(wait_s, MAX_WAIT_S))
+            case relay_messages.WatchCall() as call:
+                return self._watch(call)
             case _:
                 return None
 
@@ -46,24 +46,23 @@
         age_s = self.view.get_age_s(self.clock())
         return not self.is_closed and age_s <= self.max_view_age_s
 
-    def _watch(
-        self, after: view.StoreRevision, era: view.StoreEra, wait_s: float
-    ) -> bytes | None:
-        with eventlet.Timeout(wait_s, False):
+    def _watch(self, call: relay_messages.WatchCall) -> bytes | None:
+        after, era = call.after, call.era
+        with eventlet.Timeout(min(call.wait_s, MAX_WAIT_S), False):
             while self._can_answer(after, era) and self.history.revision <= after:
                 self.history.wait()
         if self._is_current() and self.history.era != era:
             return self._encode([])
         if not self._can_answer(after, era):
             return None
-        return self._encode(self.history.list_after(after))
+        return self._encode(self.history.list_after(after), call.reads_packed)
 
     def _can_answer(self, after: view.StoreRevision, era: view.StoreEra) -> bool:
         """Return whether all changes after a revision of an era are known."""
         is_same_era = self.history.era == era
         return self._is_current() and is_same_era and self.history.has_all_since(after)
 
-    def _encode(self, changes: list[store.Item]) -> bytes:
+    def _encode(self, changes: list[store.Item], is_packed: bool = False) -> bytes:
         now = self.clock()
         untrusted_s = self.view.removals_untrusted_until - now
         return relay_messages.encode_reply(
@@ -71,4 +70,5 @@
             self.history.revision,
             max(untrusted_s, 0.0),
             self.view.get_age_s(now),
+            is_packed,
         )
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -9,6 +9,7 @@
 import enum
 import re
 import socket
+import zlib
 from collections.abc import Collection
 from typing import NewType
 
@@ -28,8 +29,8 @@
 PROBE_TIMEOUT_S = 1.0
 # A page or a watch holds about 1 MB; base64 and field names add to that.
 MAX_BODY_BYTES = 16 * 1_048_576
-# The first piece of a body has to come within the time of its call. Each further one has
-# a time of its own, since a large body takes as long as the links on its way need.
+# The first piece of a body has to come within the time of its call. Each further one
+# has a time of its own, since a large body takes as long as the links on its way need.
 BODY_PIECE_BYTES = 32_768
 BODY_PIECE_TIMEOUT_S = 1.0
 # TCP keep-alive probes detect a dead connection within three seconds.
@@ -44,6 +45,8 @@
 ERA_HEADER = "Store-Era"
 # In a watch that is sent to an aggregator.
 ERA_FIELD = "era"
+# Also in such a watch: "1" if the host reads values that are packed.
+PACKED_FIELD = "packed"
 _ERA = re.compile(r"[0-9]{1,18}")
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
@@ -147,6 +150,8 @@
     revision: decoding.Integer
     # In standard base64.
     value: str | None = None
+    # In place of a value, from an aggregator: it is compressed by zlib, in base64.
+    packed: str | None = None
     deleted: bool = False
     # 0 for a key without a lease.
     lease: decoding.Integer = 0
@@ -394,7 +399,7 @@
 
         It has to know the era of the revision, which the store itself is not told.
         """
-        query = {"after": str(after), ERA_FIELD: str(era)}
+        query = {"after": str(after), ERA_FIELD: str(era), PACKED_FIELD: "1"}
         return self._watch(query, wait_s, timeout_s)
 
     def _watch(self, query: dict[str, str], wait_s: float, timeout_s: float) -> Batch:
@@ -558,11 +563,20 @@
 def _decode_item(item: _WireItem) -> Item:
     revision = view.StoreRevision(item.revision)
     lease = LeaseId(item.lease)
-    if item.deleted or item.value is None:
+    if item.deleted or (item.value is None and item.packed is None):
         return Item(Key(item.key), revision, None)
     try:
-        value = base64.b64decode(item.value, validate=True)
-    except (binascii.Error, ValueError):
+        value = (
+            base64.b64decode(item.value, validate=True)
+            if item.packed is None
+            else _unpack(item.packed)
+        )
+    except (binascii.Error, ValueError, zlib.error):
         # An empty value fails to decode as an entry, and that failure is reported.
         value = b""
     return Item(Key(item.key), revision, value, lease)
+
+
+def _unpack(text: str) -> bytes:
+    data = base64.b64decode(text, validate=True)
+    return zlib.decompressobj().decompress(data, MAX_BODY_BYTES)
--- a/tests/test_gateway_store_relay.py
+++ b/tests/test_gateway_store_relay.py
@@ -4,6 +4,7 @@
 import json
 
 import eventlet
+import msgspec
 import pytest
 
 from corianderrill.gateway import change_history, store_relay
@@ -178,3 +179,49 @@
 
 def test_watch_without_an_era_is_left_to_the_store(relay):
     assert relay.answer(store.WATCH_PATH, "after=10&wait_ms=10") is None
+
+
+def encode_great_configuration(version=7):
+    """Return a configuration of 1,400 routes to 36 shards each."""
+    document = gateway_rig.build_configuration(36, [{"name": "kami"}])
+    (route, *_) = document["routes"]
+    routes = [
+        {**route, "name": f"r-{number}", "prefix": f"/{number}/"}
+        for number in range(1_400)
+    ]
+    return json.dumps({**document, "version": version, "routes": routes}).encode()
+
+
+def watch_packed(relay, after):
+    """Return the body of the reply to a host that reads packed values."""
+    query = f"after={after}&era={ERA}&wait_ms=1000&{store.PACKED_FIELD}=1"
+    return relay.answer(store.WATCH_PATH, query)
+
+
+def append_configuration(relay, revision, value):
+    item = store.Item(store.Key(documents.CONFIGURATION_KEY), revision, value)
+    relay.history.append((item,), revision)
+
+
+# Guards against an aggregator whose link cannot carry a great configuration to all
+# hosts behind it within the time that they wait.
+def test_great_configuration_is_sent_in_a_tenth_of_its_bytes(relay):
+    value = encode_great_configuration()
+    append_configuration(relay, 11, value)
+    assert len(watch_packed(relay, 10)) < len(value) / 10
+
+
+def test_packed_configuration_is_the_one_that_was_written(relay):
+    value = encode_configuration(api_keys=["k-3f9a"])
+    append_configuration(relay, 11, value)
+    changes = msgspec.json.decode(watch_packed(relay, 10), type=store._WireWatch)
+    (item,) = map(store._decode_item, changes.events)
+    assert b"k-3f9a" not in item.value
+    decoded = documents.decode_configuration(item.value)
+    assert decoded.find_workspace("k-3f9a").name == "kami"
+
+
+@pytest.mark.parametrize("packed", ["AAAA", "no base64"])
+def test_packed_value_that_cannot_be_read_is_an_empty_one(packed):
+    item = store._WireItem(key="op/config", revision=8, packed=packed)
+    assert store._decode_item(item).value == b""
