Decode the names of services as the platform gives them

A configuration of 1,400 routes to 36 shards was decoded in 113 ms here, half of it in calls that turn each name into itself; now 66 ms (one run each, python 3.11, beside other load). A host with half a core serves nobody meanwhile.

--- a/corianderrill/platform/documents.py
+++ b/corianderrill/platform/documents.py
@@ -40,7 +40,7 @@
 
 
 class _WireWeightedService(msgspec.Struct):
-    service: str
+    service: names.ServiceName
     weight: float
 
 
@@ -56,9 +56,9 @@
     priority: int = 0
     max_attempts: int = 1
     # One of `service`, `split` (by weight) and `gather` (all shards) is the target.
-    service: str | None = None
+    service: names.ServiceName | None = None
     split: list[_WireWeightedService] | None = None
-    gather: list[str] | None = None
+    gather: tuple[names.ServiceName, ...] | None = None
     top_k: int = 0
     min_coverage: float = 1.0
     # Whether callers need no key.
@@ -277,17 +277,16 @@
 
 def _convert_target(route: _WireRoute) -> routes.Target:
     if route.gather:
-        shards = tuple(names.ServiceName(name) for name in route.gather)
-        return routes.ScatterGather(shards, route.top_k, route.min_coverage)
+        return routes.ScatterGather(route.gather, route.top_k, route.min_coverage)
     if route.split:
         return routes.WeightedSplit(
             tuple(
-                routes.WeightedService(names.ServiceName(share.service), share.weight)
+                routes.WeightedService(share.service, share.weight)
                 for share in route.split
             )
         )
     if route.service:
-        return routes.SingleService(names.ServiceName(route.service))
+        return routes.SingleService(route.service)
     raise DocumentError(f"route {route.name}: no service, split or gather given")
 
 
