Aggregators pass on the last configuration of a series only

Of five versions in one reply of the store, an aggregator prepared and sent all five to each host, with a cache that holds two; its quota lessor was overdue meanwhile.

Change: when a configuration comes into force, the history forgets those before it, so that neither the link nor the memory of an aggregator grows with a series. One that is invalid replaces nothing.

Tests: test_only_the_last_configuration_of_a_series_is_passed_on fails before ([4, 5, 6, 7] are passed on).

--- a/corianderrill/gateway/change_history.py
+++ b/corianderrill/gateway/change_history.py
@@ -48,6 +48,14 @@
         if items:
             self.wake()
 
+    def drop_superseded(self, key: store.Key, revision: view.StoreRevision) -> None:
+        """Forget the changes of a key before a revision, which later ones replace."""
+        self._changes = collections.deque(
+            change
+            for change in self._changes
+            if change.key != key or change.revision >= revision
+        )
+
     def wake(self) -> None:
         """Wake all that wait for a change."""
         changed, self._changed = self._changed, event.Event()
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -30,7 +30,9 @@
 class StoreChanges:
     """What a host learns from the store; all revisions are of one `era`.
 
-    Times are in seconds of the host's monotonic clock.
+    `configuration_revision` is that of the change which the configuration in force came
+    with, 0 if it is from an earlier era. Times are in seconds of the host's monotonic
+    clock.
     """
 
     view: view.View
@@ -39,10 +41,12 @@
     quarantine: quarantine.Quarantine
     log: event_log.EventLog
     era: view.StoreEra = view.StoreEra(0)
+    configuration_revision: view.StoreRevision = view.StoreRevision(0)
 
     def enter_era(self, era: view.StoreEra, now: float) -> None:
         """Take any revision for a new one, since the store counts them anew."""
         self.era = era
+        self.configuration_revision = view.StoreRevision(0)
         self.quarantine.enter_era(now)
         self.view.enter_era(now)
         self.aggregators.enter_era(era)
@@ -198,6 +202,7 @@
             )
         )
         if outcome is view.UpdateOutcome.APPLIED:
+            self.configuration_revision = item.revision
             self._record_shared_keys(configuration)
 
     def _record_shared_keys(self, configuration: routes.Configuration) -> None:
--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -35,7 +35,7 @@
     view,
     watch_timing,
 )
-from corianderrill.platform import store
+from corianderrill.platform import documents, store
 
 # The store limits a watch reply to a few hundred changes. A reply with this many or
 # more may be incomplete, so the next watch is sent without delay.
@@ -256,6 +256,9 @@
         self._changes.apply(changes.items, now)
         self.revision = view.StoreRevision(max(self.revision, changes.revision))
         self.history.append(changes.items, self.revision)
+        self.history.drop_superseded(
+            documents.CONFIGURATION_KEY, self._changes.configuration_revision
+        )
         self.view.confirm(reply.complete_at)
         if changes.items:
             self._retain_pools()
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -1,12 +1,14 @@
 """The delay before the store watcher sends its next watch."""
 
+import json
 import random
 
 import pytest
 
-from corianderrill.gateway import change_history, store_watcher
-from corianderrill.platform import store
+from corianderrill.gateway import change_history, open_watch, store_watcher
+from corianderrill.platform import documents, store
 from tests.utils import gateway_builders as builders
+from tests.utils import gateway_rig
 
 BATCH_DELAY_S = 1.5
 
@@ -36,11 +38,9 @@
         pass
 
 
-def record_sleeps(monkeypatch, *counts, was_confirmed=True):
-    sleeps = []
-    monkeypatch.setattr(store_watcher.eventlet, "sleep", sleeps.append)
-    watcher = store_watcher.StoreWatcher(
-        FakeClient(*counts),
+def build_watcher(client):
+    return store_watcher.StoreWatcher(
+        client,
         builders.build_view(),
         FakePools(),
         builders.build_aggregator_directory(),
@@ -51,6 +51,12 @@
         change_history.ChangeHistory(),
         builders.build_quarantine(),
     )
+
+
+def record_sleeps(monkeypatch, *counts, was_confirmed=True):
+    sleeps = []
+    monkeypatch.setattr(store_watcher.eventlet, "sleep", sleeps.append)
+    watcher = build_watcher(FakeClient(*counts))
     watcher.timing.batch_delay_ratio = BATCH_DELAY_S / watcher.timing.max_apply_delay_s
     if was_confirmed:
         watcher.view.confirm(watcher.clock())
@@ -76,3 +82,30 @@
     monkeypatch,
 ):
     assert record_sleeps(monkeypatch, 0, 0, was_confirmed=False) == [BATCH_DELAY_S]
+
+
+def build_configuration_item(revision, value=None):
+    if value is None:
+        value = json.dumps(gateway_rig.build_configuration(revision)).encode()
+    return store.Item(store.Key(documents.CONFIGURATION_KEY), revision, value)
+
+
+def list_passed_on(*items):
+    """Return the revisions that hosts behind this one get, of one reply's changes."""
+    watcher = build_watcher(FakeClient())
+    reply = store.Batch(items, items[-1].revision)
+    watcher._apply_reply(open_watch.WatchReply(reply, watcher.clock()))
+    return [item.revision for item in watcher.history.list_after(0)]
+
+
+# Guards against a series of great configurations that an aggregator passes on in full,
+# to each host behind it, for seconds.
+def test_only_the_last_configuration_of_a_series_is_passed_on():
+    server = store.Item(store.Key("servers/i-1"), 5, None)
+    series = [build_configuration_item(revision) for revision in (4, 6, 7)]
+    assert list_passed_on(series[0], server, *series[1:]) == [5, 7]
+
+
+def test_configuration_in_force_is_passed_on_though_an_invalid_one_follows():
+    valid = [build_configuration_item(revision) for revision in (4, 5)]
+    assert list_passed_on(*valid, build_configuration_item(6, b"{")) == [5, 6]
