The batch delay counts from the start of the reply before it

A host on a narrow link that reads a series of great configurations waited for the way of each reply and then for the whole delay. What changed meanwhile has waited long enough, so the time of the way is taken off.

Tests: test_batch_delay_counts_from_the_start_of_the_reply fails before (1.5 s).

--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -215,7 +215,9 @@
         change_count = len(reply.changes.items)
         # Where many hosts start, changes soon follow.
         if change_count < MIN_BACKLOG_CHANGES and (change_count or is_first):
-            eventlet.sleep(self.timing.compute_batch_delay_s(source))
+            delay_s = self.timing.compute_batch_delay_s(source)
+            # Of a reply that was long on its way, what follows has waited already.
+            eventlet.sleep(max(delay_s - reply.changes.age_s, 0.0))
 
     def _get_store_source(self) -> watch_timing.Source:
         if self.aggregators.is_aggregator():
--- a/corianderrill/platform/relay_messages.py
+++ b/corianderrill/platform/relay_messages.py
@@ -15,7 +15,6 @@
 from corianderrill.gateway import view
 from corianderrill.platform import documents, store
 
-
 # The fastest; a configuration repeats itself so much that more effort gains little.
 PACKING_LEVEL = 1
 
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -16,8 +16,9 @@
 class FakeClient:
     """A store client whose watches return the given numbers of changes in turn."""
 
-    def __init__(self, *change_counts):
+    def __init__(self, *change_counts, way_s=0.0):
         self.counts = list(change_counts)
+        self.way_s = way_s
 
     def watch(self, prefix, after, wait_s, timeout_s):
         count = self.counts.pop(0)
@@ -25,7 +26,7 @@
             store.Item(store.Key(f"servers/i-{number}"), after + number + 1, None)
             for number in range(count)
         )
-        return store.Batch(items, after + count)
+        return store.Batch(items, after + count, age_s=self.way_s)
 
 
 class FakePools:
@@ -53,10 +54,10 @@
     )
 
 
-def record_sleeps(monkeypatch, *counts, was_confirmed=True):
+def record_sleeps(monkeypatch, *counts, was_confirmed=True, way_s=0.0):
     sleeps = []
     monkeypatch.setattr(store_watcher.eventlet, "sleep", sleeps.append)
-    watcher = build_watcher(FakeClient(*counts))
+    watcher = build_watcher(FakeClient(*counts, way_s=way_s))
     watcher.timing.batch_delay_ratio = BATCH_DELAY_S / watcher.timing.max_apply_delay_s
     if was_confirmed:
         watcher.view.confirm(watcher.clock())
@@ -70,6 +71,14 @@
     assert record_sleeps(monkeypatch, count) == [BATCH_DELAY_S]
 
 
+# Guards against a series of great configurations whose last one waits for the delay and
+# for the way of those before it, one after the other.
+@pytest.mark.parametrize(("way_s", "delay_s"), [(1.2, 0.3), (4.0, 0.0)])
+def test_batch_delay_counts_from_the_start_of_the_reply(monkeypatch, way_s, delay_s):
+    sleeps = record_sleeps(monkeypatch, 1, way_s=way_s)
+    assert sleeps == pytest.approx([delay_s])
+
+
 def test_full_batches_of_a_backlog_are_read_without_delay(monkeypatch):
     assert record_sleeps(monkeypatch, 500, 500, 3) == [BATCH_DELAY_S]
 
