Probes leave a watch alone whose reply is under way; histories in virtual time

A model of hosts, aggregators and the store in virtual time (benchmarks/histories) runs the product's own watcher, probe, relay, directory, view and store client, on a hub of eventlet whose clock jumps. It found this: an aggregator with a narrow link that reads three great configurations takes 1.7 s for them; its probe sees a newer revision, waits half a second, takes the watch for dead and has all of it sent again, twice, until all keys are read. Hosts behind it had version 5 5.1 s after version 9 was acknowledged (bound 5 s).

Change: the client tells whether the reply to the watch has begun. A probe, answered or not, then leaves the watch to the client, which gives up a reply that stops.

The line of a configuration tells the size of its document.

--- /dev/null
+++ b/benchmarks/histories/machine.py
@@ -0,0 +1,169 @@
+"""Histories of a site as a state machine of hypothesis: it draws and shrinks them."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from benchmarks.histories import links, site, virtual_hub
+
+START_S = 8.0
+# Longer than any pause of what is drawn.
+CALM_S = 12.0
+MAX_FAULT_S = 4.0
+
+_SHORT = st.sampled_from((0.05, 0.3, 0.9, 1.6, 2.5))
+_SPANS = st.sampled_from((0.2, 0.5, 1.0, 2.0, MAX_FAULT_S))
+_NUMBERS = st.integers(0, 5)
+_SOME_NUMBERS = st.sets(_NUMBERS, min_size=1, max_size=3)
+_CUTS = st.sampled_from((links.Trouble.SILENT, links.Trouble.BUSY, links.Trouble.RESET))
+
+
+class SiteHistory(stateful.RuleBasedStateMachine):
+    """A site among faults; the judge's findings are what must not be."""
+
+    shapes = site.SHAPES
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._context = virtual_hub.use_hub()
+        self._hub = self._context.__enter__()
+        self._site: site.Site | None = None
+
+    @stateful.initialize(number=st.integers(0, 99), seed=st.integers(0, 9_999))
+    def start(self, number: int, seed: int) -> None:
+        """Start a site of one of the shapes."""
+        shape = self.shapes[number % len(self.shapes)]
+        self._site = site.Site(shape, seed, self._hub)
+        self._pass(START_S)
+
+    def _pass(self, seconds: float) -> None:
+        self._hub.let_pass(seconds)
+        findings = list(map(str, self._site.findings[:3]))
+        assert not findings, findings
+
+    def _get_host(self, number: int) -> object:
+        return self._site.hosts[number % len(self._site.hosts)]
+
+    @stateful.rule(seconds=_SHORT)
+    def let_pass(self, seconds: float) -> None:
+        """Let time pass."""
+        self._pass(seconds)
+
+    @stateful.rule(count=st.integers(1, 5), gap_s=_SHORT)
+    def publish_series(self, count: int, gap_s: float) -> None:
+        """Publish versions one after the other."""
+        for _ in range(count):
+            self._site.publish()
+            self._pass(gap_s)
+
+    @stateful.rule(is_great=st.booleans())
+    def publish_of_size(self, is_great: bool) -> None:
+        """Publish a version of another size."""
+        self._site.publish(is_great)
+
+    @stateful.rule(kind=st.integers(0, 2))
+    def publish_invalid(self, kind: int) -> None:
+        """Let another writer spoil the key."""
+        self._site.publish_invalid(kind)
+
+    @stateful.rule(number=_NUMBERS)
+    def change_replica(self, number: int) -> None:
+        """Let a replica come or go."""
+        self._site.change_replica(number)
+
+    @stateful.rule(number=_NUMBERS, for_s=st.sampled_from((0.1, 0.3, 0.5)))
+    def lose_replies(self, number: int, for_s: float) -> None:
+        """Lose a reply of the store to one host."""
+        self._site.lose_replies(self._get_host(number), for_s)
+
+    @stateful.rule(numbers=_SOME_NUMBERS, how=_CUTS)
+    def turn_away(self, numbers: set[int], how: links.Trouble) -> None:
+        """Let the store answer the other hosts only."""
+        for number in sorted(numbers):
+            self._site.cut(self._get_host(number), how, MAX_FAULT_S)
+
+    @stateful.rule(number=_NUMBERS, other=_NUMBERS, how=_CUTS, for_s=_SPANS)
+    def cut_between(
+        self, number: int, other: int, how: links.Trouble, for_s: float
+    ) -> None:
+        """Part two hosts."""
+        ends = self._get_host(number), self._get_host(other)
+        if ends[0] is not ends[1]:
+            self._site.cut_between(*ends, how, for_s)
+
+    @stateful.rule(how=_CUTS, for_s=_SPANS)
+    def end_service(self, how: links.Trouble, for_s: float) -> None:
+        """Let the store answer nobody."""
+        self._site.end_service(how, for_s)
+
+    @stateful.rule(for_s=_SPANS)
+    def slow_down(self, for_s: float) -> None:
+        """Let the store be slow."""
+        self._site.slow_down(for_s)
+
+    @stateful.rule(age_s=st.sampled_from((1.0, 3.0, 5.5)))
+    def age_stale_reads(self, age_s: float) -> None:
+        """Let stale reads be old."""
+        self._site.age_stale_reads(age_s, 2 * MAX_FAULT_S)
+
+    @stateful.rule(deaf_s=st.sampled_from((0.0, 1.0)))
+    def drop_history(self, deaf_s: float) -> None:
+        """Let the store forget its history."""
+        self._site.drop_history(deaf_s)
+
+    @stateful.rule(age_s=st.sampled_from((0.5, 2.0, 6.0)))
+    def restore_store(self, age_s: float) -> None:
+        """Bring the store back from a copy."""
+        self._site.restore_store(age_s)
+
+    @stateful.rule(number=_NUMBERS, for_s=_SPANS)
+    def freeze(self, number: int, for_s: float) -> None:
+        """Let a process stand still."""
+        self._site.freeze(self._get_host(number), for_s)
+
+    @stateful.rule(number=_NUMBERS, after_s=_SPANS)
+    def restart(self, number: int, after_s: float) -> None:
+        """End a process and start another."""
+        self._site.restart(self._get_host(number), after_s)
+
+    @stateful.rule(number=_NUMBERS)
+    def reload(self, number: int) -> None:
+        """Send SIGHUP."""
+        self._site.reload(self._get_host(number))
+
+    @stateful.rule(slot=st.integers(0, 1), number=st.integers(0, 6))
+    def move_slot(self, slot: int, number: int) -> None:
+        """Give a slot of an aggregator to a host, or to nobody."""
+        if slot < self._site.shape.aggregator_count:
+            holder = None if number == 6 else self._get_host(number)
+            self._site.move_slot(slot, holder)
+
+    def teardown(self) -> None:
+        """Let all faults end, and judge once more."""
+        try:
+            if self._site is not None:
+                try:
+                    self._pass(CALM_S)
+                finally:
+                    self._site.stop()
+        finally:
+            self._context.__exit__(None, None, None)
+
+
+def play(
+    seed: int,
+    examples: int,
+    steps: int,
+    machine: type[SiteHistory] = SiteHistory,
+) -> None:
+    """Play histories drawn from a seed; raise with the shortest one that fails."""
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        print_blob=True,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    hypothesis.seed(seed)(machine)
+    stateful.run_state_machine_as_test(machine, settings=settings)
--- a/corianderrill/gateway/event_log.py
+++ b/corianderrill/gateway/event_log.py
@@ -142,13 +142,17 @@
 
 
 class ConfigurationSeen(msgspec.Struct, tag="configuration", tag_field="event"):
-    """A configuration version was read; `before` is the version in force until then."""
+    """A configuration version was read; `before` is the version in force until then.
+
+    `size_bytes` is that of its document.
+    """
 
     version: int
     revision: int
     before: int | None
     outcome: str
     era: int = 0
+    size_bytes: int = 0
 
 
 class ReplicaSeen(msgspec.Struct, tag="replica", tag_field="event"):
--- a/corianderrill/gateway/store_changes.py
+++ b/corianderrill/gateway/store_changes.py
@@ -199,6 +199,7 @@
                 before=None if before is None else before.version,
                 outcome=outcome.value,
                 era=self.era,
+                size_bytes=len(item.value),
             )
         )
         if outcome is view.UpdateOutcome.APPLIED:
--- a/corianderrill/gateway/store_probe.py
+++ b/corianderrill/gateway/store_probe.py
@@ -77,7 +77,7 @@
         try:
             reply = watcher.client.probe_revision()
         except store.StoreError as error:
-            if watcher.watching_since == watching_since:
+            if self._is_unanswered(watching_since):
                 watcher.interrupt(error)
             return
         watcher.record_probe(reply)
@@ -93,10 +93,19 @@
         if reply.era < watcher.era or revision <= watcher.revision:
             return
         eventlet.sleep(WATCH_REPLY_GRACE_S)
-        if watcher.watching_since == watching_since and watcher.revision < revision:
+        if self._is_unanswered(watching_since) and watcher.revision < revision:
             watcher.interrupt(
                 store.StoreError(
                     store.FailureKind.SILENT,
                     f"no reply to a watch, though revision {revision} exists",
                 )
             )
+
+    def _is_unanswered(self, watching_since: float | None) -> bool:
+        """Return whether that watch is open and its reply has not begun.
+
+        A reply under way may be long; its client gives it up if it stops.
+        """
+        watcher = self.watcher
+        is_open = watcher.watching_since == watching_since
+        return is_open and not watcher.client.is_watch_answered
--- a/corianderrill/platform/store.py
+++ b/corianderrill/platform/store.py
@@ -10,7 +10,7 @@
 import re
 import socket
 import zlib
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import NewType
 
 import eventlet
@@ -189,11 +189,18 @@
 
 
 class StoreClient:
-    """A client of the store, shared by all tasks of a host."""
+    """A client of the store, shared by all tasks of a host.
 
-    def __init__(self, address: names.Address) -> None:
+    `is_watch_answered` tells whether the reply to the last watch has begun.
+    """
+
+    def __init__(
+        self, address: names.Address, clock: Callable[[], float] = loop.read_clock
+    ) -> None:
         self._pool = _build_pool(address)
+        self._clock = clock
         self.call_count = 0
+        self.is_watch_answered = False
 
     def change_address(self, address: names.Address) -> None:
         """Send later calls to another address; calls in flight end as they can."""
@@ -404,6 +411,7 @@
 
     def _watch(self, query: dict[str, str], wait_s: float, timeout_s: float) -> Batch:
         query["wait_ms"] = str(int(1000 * wait_s))
+        self.is_watch_answered = False
         try:
             reply = self._get(WATCH_PATH, query, timeout_s)
         except StoreError as error:
@@ -466,12 +474,13 @@
                     preload_content=False,
                     **content,
                 )
-                answered_at = loop.read_clock()
+                answered_at = self._clock()
+                self.is_watch_answered |= path == WATCH_PATH
                 first_piece = _read_first_piece(reply)
             body = _read_rest(reply, first_piece)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(FailureKind.UNREACHABLE, type(error).__name__) from error
-        transfer_s = loop.read_clock() - answered_at
+        transfer_s = self._clock() - answered_at
         if reply.status in (200, 204):
             return _Reply(body, _parse_era(reply.headers.get(ERA_HEADER)), transfer_s)
         if reply.status in negative_statuses:
--- a/tests/test_gateway_store_probe.py
+++ b/tests/test_gateway_store_probe.py
@@ -35,6 +35,8 @@
     reply. Stale reads show `stale_revision` unless it is None.
     """
 
+    is_watch_answered = False
+
     def __init__(self):
         self.revision = 5
         self.is_silent = False
@@ -339,3 +341,24 @@
         watched.watcher._read_all()
     assert error.value.kind is store.FailureKind.RESTORED
     assert watched.watcher.era == 1
+
+
+# Guards against a probe that ends a watch whose reply is under way, and so has all of
+# it sent again.
+def test_probes_leave_a_watch_alone_whose_reply_is_under_way(watched):
+    client = watched.client
+    way_s = 8 * watched.probe.get_interval_s()
+    watches = []
+
+    def watch(prefix, after, wait_s, timeout_s):
+        watches.append(after)
+        client.is_watch_answered = True
+        eventlet.sleep(way_s)
+        return store.Batch((), 9, client.era)
+
+    client.watch = watch
+    watched.wait_until(lambda: watches)
+    client.revision = 9
+    watched.wait_until(lambda: watched.watcher.revision == 9)
+    assert watches[0] == 5
+    assert not watched.log.list_of(event_log.WatchSilent)
