--- a/benchmarks/histories/machine.py
+++ b/benchmarks/histories/machine.py
@@ -71,13 +71,15 @@
     @stateful.initialize(
         number=st.integers(0, 99),
         seed=st.integers(0, 9_999),
-        kinds=st.sets(st.sampled_from(KINDS), min_size=1, max_size=4),
+        kinds=st.sets(st.sampled_from(KINDS), min_size=3, max_size=5),
+        stale_s=st.sampled_from((0.0, 0.0, 3.0, 5.5)),
     )
-    def start(self, number: int, seed: int, kinds: set[str]) -> None:
-        """Start a site of one of the shapes."""
+    def start(self, number: int, seed: int, kinds: set[str], stale_s: float) -> None:
+        """Start a site of one of the shapes, with stale reads of this age."""
         self.kinds = kinds
         shape = self.shapes[number % len(self.shapes)]
         self._site = site.Site(shape, seed, self._hub)
+        self._site.store.stale_s = stale_s
         self._pass(START_S)
 
     def _pass(self, seconds: float) -> None:
--- a/tests/test_gateway_histories.py
+++ b/tests/test_gateway_histories.py
@@ -61,7 +61,7 @@
 
 
 def test_histories_hold():
-    machine.play(seed=58, examples=40, steps=15)
+    machine.play(seed=58, examples=100, steps=15)
 
 
 # Guards against a host that takes a stale read for the word that nothing has changed.
