Tests of the ways to a configuration that had none: thaw, SIGHUP, start, restore

In virtual time, each with a series of versions beside it: frozen hosts and frozen aggregators, aggregators and half of the hosts that the store turns away, a start and a reload while stale reads are old, a restored store, spoiled values. All pass on the code before them; none is a mend.

--- a/tests/test_gateway_histories.py
+++ b/tests/test_gateway_histories.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from benchmarks.histories import machine, site, virtual_hub
+from benchmarks.histories import links, machine, site, virtual_hub
 
 START_S = 8.0
 # Enough for each fault and the calm after it.
@@ -75,3 +75,67 @@
         started.publish()
         hub.let_pass(0.9)
         started.publish()
+
+
+def publish_series(started, hub, count=3, gap_s=0.4):
+    for _ in range(count):
+        started.publish()
+        hub.let_pass(gap_s)
+
+
+# Guards against a process that takes what it finds at its thaw for the present state.
+@pytest.mark.parametrize("shape", [site.SMALL, site.GROWN])
+def test_hosts_follow_a_series_after_a_freeze(shape):
+    with run_site(shape) as (started, hub):
+        for host in started.hosts:
+            started.freeze(host, 3.0)
+        publish_series(started, hub)
+        hub.let_pass(2.0)
+        publish_series(started, hub)
+
+
+# Guards against hosts that are late because the aggregators they watch stand still.
+def test_hosts_are_in_time_while_both_aggregators_are_frozen():
+    with run_site(site.GROWN) as (started, hub):
+        for host in started.hosts[:2]:
+            started.freeze(host, 8.0)
+        publish_series(started, hub)
+
+
+def test_hosts_are_in_time_while_the_store_turns_both_aggregators_away():
+    with run_site(site.GROWN) as (started, hub):
+        for host in started.hosts[:2]:
+            started.cut(host, links.Trouble.BUSY, 9.0)
+        publish_series(started, hub)
+
+
+def test_half_of_the_hosts_follow_a_series_after_the_store_turned_them_away():
+    with run_site(site.GROWN) as (started, hub):
+        for host in started.hosts[::2]:
+            started.cut(host, links.Trouble.RESET, 6.0)
+        publish_series(started, hub, count=5, gap_s=1.5)
+
+
+def test_hosts_that_start_or_reload_follow_a_series_though_stale_reads_are_old():
+    with run_site(site.GROWN) as (started, hub):
+        started.age_stale_reads(5.5, for_s=12.0)
+        publish_series(started, hub)
+        started.restart(started.hosts[3], 0.3)
+        started.reload(started.hosts[4])
+        publish_series(started, hub)
+
+
+# Guards against a host that goes back to the version of the copy.
+@pytest.mark.parametrize("shape", [site.SMALL, site.GROWN])
+def test_no_host_goes_back_when_the_store_is_restored(shape):
+    with run_site(shape) as (started, hub):
+        publish_series(started, hub)
+        started.restore_store(2.0)
+        publish_series(started, hub)
+
+
+def test_hosts_keep_the_version_in_force_while_an_invalid_one_stands_in_its_place():
+    with run_site(site.GROWN) as (started, hub):
+        for kind in range(len(site.INVALID_VALUES)):
+            started.publish_invalid(kind)
+            hub.let_pass(1.0)
