--- a/corianderrill/gateway/store_watcher.py
+++ b/corianderrill/gateway/store_watcher.py
@@ -261,9 +261,10 @@
         self._changes.apply(changes.items, now)
         self.revision = view.StoreRevision(max(self.revision, changes.revision))
         self.history.append(changes.items, self.revision)
-        self.history.drop_superseded(
-            documents.CONFIGURATION_KEY, self._changes.configuration_revision
-        )
+        if any(item.key == documents.CONFIGURATION_KEY for item in changes.items):
+            self.history.drop_superseded(
+                documents.CONFIGURATION_KEY, self._changes.configuration_revision
+            )
         self.view.confirm(reply.complete_at)
         if changes.items:
             self._retain_pools()
