--- a/review/harness2/rig.py
+++ b/review/harness2/rig.py
@@ -137,9 +137,7 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         words = deploy["roles"]["gateway"]["run"].split()
         environment = {
-            name: os.environ[name]
-            for name in ("PATH", "HOME", "LANG")
-            if name in os.environ
+            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["CORIANDERRILL_SETTINGS"] = str(self.settings)
@@ -161,9 +159,7 @@
         except OSError:
             return False
         try:
-            writer.write(
-                b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-            )
+            writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
             response = await asyncio.wait_for(wire.read_response(reader), 2.0)
             return response is not None and response.status == 200
         except (OSError, TimeoutError):
@@ -344,9 +340,7 @@
         if body or method == "POST":
             lines.append(f"Content-Length: {len(body)}")
         data = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
-        shown = (
-            target if len(target) < 100 else f"{target[:40]}... ({len(target)} bytes)"
-        )
+        shown = target if len(target) < 100 else f"{target[:40]}... ({len(target)} bytes)"
         self.record.write(f"client sends {method} {shown} {request_id}")
         response = await self._exchange(data, deadline_ms / 1000 + 1.0)
         self.record.write(
